--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -5,7 +5,7 @@
 packages=(
   g++ cmake ninja-build make pkg-config curl
   libboost-dev libwebsocketpp-dev nlohmann-json3-dev libyaml-cpp-dev
-  libcxxopts-dev liblog4cplus-dev libgrpc++-dev libprotobuf-dev libssl-dev
+  libcxxopts-dev libtomlplusplus-dev liblog4cplus-dev libgrpc++-dev libprotobuf-dev libssl-dev
   protobuf-compiler protobuf-compiler-grpc
   catch2 libtrompeloeil-cpp-dev librapidcheck-dev rumur
   clang-format clang-tidy
--- a/src/libs/base/clock.cc
+++ b/src/libs/base/clock.cc
@@ -1,6 +1,7 @@
 #include "base/clock.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace basilspur {
 
@@ -19,4 +20,12 @@
   return SinceEpoch<std::chrono::system_clock>();
 }
 
+Millis BootClock::Monotonic() const {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Millis(now.tv_sec * 1'000 + now.tv_nsec / 1'000'000);
+}
+
+Millis BootClock::Wall() const { return SystemClock().Wall(); }
+
 }  // namespace basilspur
--- a/src/libs/base/clock.h
+++ b/src/libs/base/clock.h
@@ -57,6 +57,14 @@
   Millis Wall() const override;
 };
 
+/// As SystemClock, but Monotonic counts suspensions too. For ages of what
+/// others hold: their clocks go on while this machine is suspended.
+class BootClock final : public Clock {
+ public:
+  Millis Monotonic() const override;
+  Millis Wall() const override;
+};
+
 }  // namespace basilspur
 
 #endif  // BASILSPUR_BASE_CLOCK_H_
--- a/src/libs/base/error.h
+++ b/src/libs/base/error.h
@@ -13,6 +13,7 @@
   kTimeout,      ///< No answer in time; the action may have taken effect.
   kOverloaded,   ///< A bounded queue is full; nothing was done.
   kCorrupt,      ///< The peer sent bytes that don't decode.
+  kRefused,      ///< Nothing listens at the peer; nothing was done.
 };
 
 /// An error with the step and the peer at which it arose.
--- /dev/null
+++ b/src/libs/cell/cell_member.cc
@@ -0,0 +1,174 @@
+#include "cell/cell_member.h"
+
+#include <utility>
+
+#include "base/logging.h"
+
+namespace basilspur::cell {
+
+static constexpr LogCategory kLog("member");
+static constexpr char kOwnerKey[] = "owner";
+static constexpr Millis kDrainPatience(800);
+static constexpr int kVacateTries = 5;
+static constexpr Millis kVacateRetry(100);
+
+CellMember::CellMember(net::asio::io_context& context, Store& store,
+                       const Clock& clock, Identity identity,
+                       ElectionSettings settings, int cell, std::uint64_t seed,
+                       MakeOwner make_owner)
+    : context_(context),
+      store_(store),
+      clock_(clock),
+      identity_(std::move(identity)),
+      cell_(cell),
+      partition_{"keyed.owners", cell},
+      election_(settings, identity_.node, identity_.incarnation, seed),
+      make_owner_(std::move(make_owner)) {}
+
+void CellMember::Start() {
+  const auto self = shared_from_this();
+  watcher_ = std::make_shared<TopicWatcher>(
+      store_, partition_, WatchSettings{},
+      [self](const KeyedRecord& record) { self->OnRecord(record); },
+      [self](std::int64_t end) {
+        self->election_.OnEnd(end, self->clock_.Monotonic());
+      });
+  net::asio::co_spawn(context_, watcher_->Run(), net::asio::detached);
+}
+
+void CellMember::OnRecord(const KeyedRecord& record) {
+  const auto decoded = records::Decode<OwnerRecord>(record.value);
+  if (!IsOk(decoded)) {
+    kLog.Error("event=owner_record_unreadable cell=" + std::to_string(cell_) +
+               " error=\"" + ErrorOf(decoded).ToString() + "\"");
+    return;
+  }
+  const std::string before =
+      election_.Owner() ? election_.Owner()->incarnation : "";
+  election_.OnRecord(ValueOf(decoded), record.offset, clock_.Monotonic());
+  const auto& owner = election_.Owner();
+  if (owner && owner->incarnation != before) {
+    kLog.Info("event=owner_seen cell=" + std::to_string(cell_) + " owner=" +
+              owner->node + " token=" + std::to_string(owner->token) +
+              " offset=" + std::to_string(record.offset));
+  }
+  Follow();
+}
+
+void CellMember::Follow() {
+  if (owner_ && election_.Token() != owner_token_) DropOwner();
+  if (owner_ || !election_.Owns() || leaving_) return;
+  owner_token_ = election_.Token();
+  const auto self = shared_from_this();
+  owner_ = make_owner_(
+      {cell_, election_.Token(), election_.Term()},
+      [self] { return self->election_.IsFresh(self->clock_.Monotonic()); },
+      [self, token = owner_token_] {
+        if (self->owner_token_ != token) return;
+        self->election_.StepDown();
+        self->DropOwner();
+      });
+  net::asio::co_spawn(context_, owner_->TakeOver(), [](auto, bool) {});
+}
+
+void CellMember::DropOwner() {
+  if (!owner_) return;
+  kLog.Info("event=ownership_ended cell=" + std::to_string(cell_) +
+            " token=" + std::to_string(owner_token_));
+  owner_->Stop();
+  owner_.reset();
+  owner_token_ = -1;
+}
+
+void CellMember::Tick(int owned) {
+  const Millis now = clock_.Monotonic();
+  if (election_.IsOrphaned(now)) {
+    kLog.Warning("event=orphaned cell=" + std::to_string(cell_) +
+                 " reason=\"no renewal for too long\"");
+    election_.StepDown();
+    DropOwner();
+  }
+  if (owner_) owner_->Tick();
+  if (appending_ || leaving_) return;
+  if (election_.ShouldRenew(now)) {
+    net::asio::co_spawn(
+        context_,
+        AppendRecord(election_.RenewalRecord(identity_.peer_address)),
+        net::asio::detached);
+  } else if (election_.ShouldRun(owned, now)) {
+    net::asio::co_spawn(
+        context_, AppendRecord(election_.BeginRecord(identity_.peer_address)),
+        net::asio::detached);
+  }
+}
+
+net::asio::awaitable<void> CellMember::AppendRecord(OwnerRecord record) {
+  const auto self = shared_from_this();
+  appending_ = true;
+  const Millis sent = clock_.Monotonic();
+  const bool renewal = record.token >= 0;
+  const KeyedRecord written{kOwnerKey, records::Encode(record), 0};
+  std::vector<KeyedRecord> records(1, written);
+  const AppendAnswer answer = co_await store_.AppendAt(
+      partition_, election_.End(), std::move(records));
+  const Millis now = clock_.Monotonic();
+  switch (answer.verdict) {
+    case AppendVerdict::kAppended:
+      if (renewal) {
+        if (election_.Token() == record.token) {
+          election_.OnRenewed(answer.offset, sent, now);
+        }
+      } else {
+        OnRecord({kOwnerKey, written.value, answer.offset});
+      }
+      break;
+    case AppendVerdict::kConflict:
+    case AppendVerdict::kUnknown:
+      co_await LookAgain(sent);
+      break;
+    default:
+      break;
+  }
+  appending_ = false;
+}
+
+net::asio::awaitable<void> CellMember::LookAgain(Millis sent) {
+  const Result<NewestRecords> read = co_await store_.ReadNewest(partition_);
+  if (!IsOk(read)) co_return;
+  const Millis now = clock_.Monotonic();
+  for (const KeyedRecord& record : ValueOf(read).records) {
+    if (record.key == kOwnerKey) OnRecord(record);
+  }
+  election_.OnEnd(ValueOf(read).end, now);
+  // The newest record is this owner's, so nobody had come in by `sent`.
+  if (election_.Owns()) {
+    election_.OnRenewed(election_.End() - 1, sent, now);
+  }
+}
+
+void CellMember::OnOwnerDead(const std::string& incarnation) {
+  election_.OnOwnerDead(incarnation, clock_.Monotonic());
+}
+
+net::asio::awaitable<void> CellMember::Leave() {
+  const auto self = shared_from_this();
+  leaving_ = true;
+  if (!owner_ || !election_.Owns()) co_return;
+  co_await owner_->Drain(kDrainPatience);
+  OwnerRecord record = election_.RenewalRecord(identity_.peer_address);
+  record.vacant = true;
+  const KeyedRecord written{kOwnerKey, records::Encode(record), 0};
+  DropOwner();
+  for (int attempt = 0; attempt < kVacateTries; ++attempt) {
+    std::vector<KeyedRecord> records(1, written);
+    const AppendAnswer answer = co_await store_.AppendAt(
+        partition_, election_.End(), std::move(records));
+    if (answer.verdict == AppendVerdict::kAppended) break;
+    co_await LookAgain(clock_.Monotonic());
+    if (election_.Token() != record.token) break;
+    co_await net::Sleep(kVacateRetry);
+  }
+  election_.StepDown();
+}
+
+}  // namespace basilspur::cell
--- /dev/null
+++ b/src/libs/cell/cell_member.h
@@ -0,0 +1,75 @@
+#ifndef BASILSPUR_CELL_CELL_MEMBER_H_
+#define BASILSPUR_CELL_CELL_MEMBER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cell/cell_owner.h"
+#include "cell/election.h"
+#include "cell/store.h"
+#include "cell/topic_watcher.h"
+
+namespace basilspur::cell {
+
+/// This node's part in one cell: follows who owns it, runs for it, and owns
+/// it while elected.
+///
+/// Thread safety: only from the thread of its io_context.
+class CellMember : public std::enable_shared_from_this<CellMember> {
+ public:
+  struct Identity {
+    std::string node;
+    std::string incarnation;
+    std::string peer_address;
+  };
+  /// Makes the owner of an ownership that has begun, with the catalog and the
+  /// VMs known.
+  using MakeOwner = std::function<std::shared_ptr<CellOwner>(
+      CellOwner::Ownership ownership, std::function<bool()> is_fresh,
+      std::function<void()> on_deposed)>;
+
+  /// Precondition: the references outlive the object.
+  CellMember(net::asio::io_context& context, Store& store, const Clock& clock,
+             Identity identity, ElectionSettings settings, int cell,
+             std::uint64_t seed, MakeOwner make_owner);
+
+  void Start();
+  /// Looks at what time alone changes. `owned`: cells this node owns.
+  void Tick(int owned);
+  /// Null while another node owns the cell, or none.
+  CellOwner* Owner() const { return owner_.get(); }
+  bool Owns() const { return election_.Owns(); }
+  /// The owner as last read; empty if there is none.
+  const std::optional<OwnerRecord>& KnownOwner() const {
+    return election_.Owner();
+  }
+  void OnOwnerDead(const std::string& incarnation);
+  /// Hands the cell over, if this node owns it. It does not run again.
+  net::asio::awaitable<void> Leave();
+
+ private:
+  void OnRecord(const KeyedRecord& record);
+  void Follow();
+  net::asio::awaitable<void> AppendRecord(OwnerRecord record);
+  net::asio::awaitable<void> LookAgain(Millis sent);
+  void DropOwner();
+
+  net::asio::io_context& context_;
+  Store& store_;
+  const Clock& clock_;
+  Identity identity_;
+  int cell_;
+  Partition partition_;
+  Election election_;
+  MakeOwner make_owner_;
+  std::shared_ptr<TopicWatcher> watcher_;
+  std::shared_ptr<CellOwner> owner_;
+  std::int64_t owner_token_ = -1;
+  bool appending_ = false;
+  bool leaving_ = false;
+};
+
+}  // namespace basilspur::cell
+
+#endif  // BASILSPUR_CELL_CELL_MEMBER_H_
--- /dev/null
+++ b/src/libs/cell/cell_owner.cc
@@ -0,0 +1,408 @@
+#include "cell/cell_owner.h"
+
+#include <map>
+#include <utility>
+
+#include "base/logging.h"
+
+namespace basilspur::cell {
+
+static constexpr LogCategory kLog("cell");
+static constexpr Millis kAppendRetry(60);
+static constexpr Millis kJournalReadRetry(150);
+/// Run numbers of each term begin this much above the last term's.
+static constexpr int kRunsPerTerm = 16;
+static constexpr Millis kAcknowledgementWait(300);
+static constexpr Millis kDrainCheck(5);
+
+static std::string CellField(const CellOwner::Ownership& ownership) {
+  return " cell=" + std::to_string(ownership.cell) +
+         " token=" + std::to_string(ownership.token);
+}
+
+CellOwner::CellOwner(net::asio::io_context& context, Store& store,
+                     VmClient& vms, const Clock& clock,
+                     CellOwnerSettings settings, Ownership ownership,
+                     std::function<bool()> is_fresh,
+                     std::function<void()> on_deposed)
+    : context_(context),
+      store_(store),
+      vm_client_(vms),
+      clock_(clock),
+      settings_(settings),
+      ownership_(ownership),
+      is_fresh_(std::move(is_fresh)),
+      on_deposed_(std::move(on_deposed)),
+      scheduler_(settings.scheduler),
+      journal_{"keyed.jobs", ownership.cell},
+      dirty_(context),
+      flushed_(context) {}
+
+void CellOwner::Stop() {
+  stopped_ = true;
+  ready_ = false;
+  dirty_.NotifyAll();
+  flushed_.NotifyAll();
+}
+
+void CellOwner::Depose() {
+  if (stopped_) return;
+  kLog.Warning("event=deposed" + CellField(ownership_));
+  Stop();
+  on_deposed_();
+}
+
+net::asio::awaitable<bool> CellOwner::TakeOver() {
+  const auto self = shared_from_this();
+  const Millis began = Now();
+  if (!co_await BeginEpoch()) co_return false;
+  if (!co_await ReadJournal()) co_return false;
+  const int first_run =
+      static_cast<int>((ownership_.term - 1) * kRunsPerTerm + 1);
+  scheduler_.FinishRestore(first_run, Now());
+  ready_ = true;
+  net::asio::co_spawn(context_, RunJournal(), net::asio::detached);
+  for (const jobs::VmListing& listing : scheduler_.VmsToRenew()) {
+    OnVmListed(listing);
+  }
+  kLog.Info("event=owner_ready" + CellField(ownership_) +
+            " took_ms=" + std::to_string((Now() - began).count) +
+            " jobs=" + std::to_string(scheduler_.ActiveJobs()));
+  Wake();
+  co_return true;
+}
+
+net::asio::awaitable<bool> CellOwner::BeginEpoch() {
+  while (!stopped_) {
+    const AppendAnswer answer = co_await store_.AppendAs(
+        journal_, {"owner", ownership_.token, 0}, {});
+    if (answer.verdict == AppendVerdict::kAppended) co_return true;
+    if (answer.verdict == AppendVerdict::kFenced) {
+      Depose();
+      co_return false;
+    }
+    kLog.Warning("event=epoch_retry" + CellField(ownership_) + " reason=\"" +
+                 answer.reason + "\"");
+    co_await net::Sleep(kAppendRetry);
+  }
+  co_return false;
+}
+
+net::asio::awaitable<bool> CellOwner::ReadJournal() {
+  for (;;) {
+    const Result<NewestRecords> read = co_await store_.ReadNewest(journal_);
+    if (stopped_) co_return false;
+    if (!IsOk(read)) {
+      co_await net::Sleep(kJournalReadRetry);
+      continue;
+    }
+    std::map<std::string, jobs::ProgressRecord> progress;
+    for (const KeyedRecord& record : ValueOf(read).records) {
+      if (!record.key.starts_with('p')) continue;
+      auto decoded = records::Decode<jobs::ProgressRecord>(record.value);
+      if (IsOk(decoded)) progress[record.key.substr(1)] = ValueOf(decoded);
+    }
+    for (const KeyedRecord& record : ValueOf(read).records) {
+      if (!record.key.starts_with('j')) continue;
+      const auto decoded = records::Decode<jobs::JobRecord>(record.value);
+      if (!IsOk(decoded)) {
+        kLog.Error("event=journal_record_unreadable key=" + record.key +
+                   " error=\"" + ErrorOf(decoded).ToString() + "\"");
+        continue;
+      }
+      const std::string id = record.key.substr(1);
+      const auto found = progress.find(id);
+      scheduler_.Restore(id, ValueOf(decoded),
+                         found == progress.end()
+                             ? std::nullopt
+                             : std::optional(found->second),
+                         Now());
+    }
+    co_return true;
+  }
+}
+
+void CellOwner::OnCatalog(const jobs::Catalog& catalog) {
+  catalog_ = catalog;
+  scheduler_.ApplyCatalog(catalog);
+  Wake();
+}
+
+void CellOwner::OnVmListed(const jobs::VmListing& listing) {
+  scheduler_.ListVm(listing, Now());
+  if (!ready_ || !driven_.insert(listing.id).second) return;
+  net::asio::co_spawn(context_, DriveVm(listing.id), net::asio::detached);
+}
+
+void CellOwner::OnVmGone(const std::string& id) {
+  scheduler_.UnlistVm(id, Now());
+}
+
+void CellOwner::Tick() {
+  // Callers' patience may be over without anything having been stored.
+  flushed_.NotifyAll();
+  Wake();
+}
+
+void CellOwner::Wake() {
+  if (!ready_ || plan_posted_) return;
+  plan_posted_ = true;
+  net::asio::post(context_, [self = shared_from_this()] {
+    self->plan_posted_ = false;
+    self->RunPlan();
+  });
+}
+
+void CellOwner::RunPlan() {
+  if (!ready_ || stopped_) return;
+  if (!draining_) {
+    std::vector<jobs::Order> orders =
+        scheduler_.Plan(clock_.Wall().count, Now());
+    for (jobs::Order& order : orders) {
+      net::asio::co_spawn(context_, SendOrder(std::move(order)),
+                          net::asio::detached);
+    }
+  }
+  if (scheduler_.HasBatch()) dirty_.NotifyAll();
+}
+
+net::asio::awaitable<void> CellOwner::SendOrder(jobs::Order order) {
+  const auto self = shared_from_this();
+  const std::optional<jobs::VmListing> vm = scheduler_.Listing(order.vm);
+  if (!vm || stopped_) co_return;
+  const Millis sent = Now();
+  const std::int64_t deadline = scheduler_.NextDeadline(order.vm, sent);
+  const OrderAnswer answer =
+      co_await vm_client_.Send(*vm, order, ownership_.token, deadline);
+  if (stopped_) co_return;
+  if (answer.outcome == jobs::OrderOutcome::kStaleToken) {
+    Depose();
+    co_return;
+  }
+  scheduler_.OnOrderOutcome(order, answer.outcome, answer.clock_ms, sent,
+                            Now());
+  if (answer.outcome != jobs::OrderOutcome::kDone) {
+    kLog.Info("event=order_not_done task=" + order.task.ToString() +
+              " run=" + std::to_string(order.run) + " vm=" + order.vm +
+              " outcome=" + std::to_string(static_cast<int>(answer.outcome)));
+    Wake();
+  }
+}
+
+Millis CellOwner::RenewalWait(const std::string& vm) const {
+  switch (scheduler_.LoadOf(vm)) {
+    case jobs::VmLoad::kIdle:
+      return settings_.idle_wait;
+    case jobs::VmLoad::kBusy:
+      return settings_.busy_wait;
+    case jobs::VmLoad::kMixed:
+      return settings_.mixed_wait;
+  }
+  return settings_.busy_wait;
+}
+
+net::asio::awaitable<bool> CellOwner::RenewOnce(const jobs::VmListing& vm) {
+  const Millis sent = Now();
+  Renewal renewal;
+  renewal.fencing_token = ownership_.token;
+  renewal.deadline_ms = scheduler_.NextDeadline(vm.id, sent);
+  renewal.acknowledged = scheduler_.AcknowledgedEnd(vm.id);
+  renewal.wait = RenewalWait(vm.id);
+  if (renewal.deadline_ms == 0) renewal.wait = Millis(0);
+  const RenewalAnswer answer = co_await vm_client_.Renew(vm, renewal);
+  if (stopped_) co_return false;
+  if (const auto* report = std::get_if<jobs::VmReport>(&answer)) {
+    scheduler_.OnReport(vm.id, *report, sent, Now());
+    Wake();
+    co_return true;
+  }
+  switch (std::get<RenewalFailure>(answer)) {
+    case RenewalFailure::kStaleToken:
+      Depose();
+      co_return false;
+    case RenewalFailure::kOtherLife:
+      scheduler_.OnOtherLife(vm.id);
+      kLog.Info("event=vm_restarted vm=" + vm.id);
+      Wake();
+      co_return false;
+    case RenewalFailure::kNoAnswer:
+      scheduler_.OnSilent(vm.id);
+      kLog.Info("event=vm_silent vm=" + vm.id);
+      co_await net::Sleep(settings_.silent_pause);
+      co_return true;
+  }
+  co_return true;
+}
+
+net::asio::awaitable<void> CellOwner::DriveVm(std::string id) {
+  const auto self = shared_from_this();
+  while (!stopped_) {
+    const std::optional<jobs::VmListing> vm = scheduler_.Listing(id);
+    if (!vm || !co_await RenewOnce(*vm)) break;
+    co_await WaitForAcknowledgement(id);
+  }
+  driven_.erase(id);
+}
+
+net::asio::awaitable<void> CellOwner::WaitForAcknowledgement(std::string id) {
+  // A renewal that acknowledges too little is answered at once, in vain.
+  const Millis until = Now() + kAcknowledgementWait;
+  while (!stopped_ && Now() < until && scheduler_.HasUnacknowledgedEnds(id)) {
+    if (append_began_ && Now() - *append_began_ > settings_.store_stalled) {
+      co_await net::Sleep(kAcknowledgementWait);
+      co_return;
+    }
+    co_await flushed_.Wait();
+  }
+}
+
+net::asio::awaitable<void> CellOwner::RunJournal() {
+  const auto self = shared_from_this();
+  while (!stopped_) {
+    if (!scheduler_.HasBatch()) {
+      co_await dirty_.Wait();
+      continue;
+    }
+    const jobs::JournalBatch batch =
+        scheduler_.TakeBatch(clock_.Wall().count);
+    if (!co_await Write(batch)) co_return;
+    scheduler_.OnDurable(batch);
+    flushed_.NotifyAll();
+    Wake();
+    co_await net::Sleep(settings_.flush_interval);
+  }
+}
+
+net::asio::awaitable<bool> CellOwner::Write(const jobs::JournalBatch& batch) {
+  std::vector<KeyedRecord> records;
+  std::size_t bytes = 0;
+  for (const jobs::JournalEntry& entry : batch.entries) {
+    const std::size_t size = entry.key.size() + entry.value.size();
+    if (!records.empty() && bytes + size > settings_.call_bytes) {
+      if (!co_await Append(std::move(records))) co_return false;
+      records.clear();
+      bytes = 0;
+    }
+    records.push_back({entry.key, entry.value, 0});
+    bytes += size;
+  }
+  if (records.empty()) co_return true;
+  co_return co_await Append(std::move(records));
+}
+
+net::asio::awaitable<bool> CellOwner::Append(std::vector<KeyedRecord> records) {
+  const Producer producer{"owner", ownership_.token, sequence_};
+  append_began_ = Now();
+  bool retried = false;
+  while (!stopped_) {
+    const AppendAnswer answer =
+        co_await store_.AppendAs(journal_, producer, records);
+    if (answer.verdict == AppendVerdict::kAppended) break;
+    if (answer.verdict == AppendVerdict::kFenced) {
+      Depose();
+      co_return false;
+    }
+    // The first sending was done after all.
+    if (retried && answer.verdict == AppendVerdict::kWrongSequence &&
+        answer.expected > sequence_) {
+      break;
+    }
+    kLog.Warning("event=append_retry" + CellField(ownership_) +
+                 " sequence=" + std::to_string(sequence_) + " reason=\"" +
+                 answer.reason + "\"");
+    retried = true;
+    co_await net::Sleep(kAppendRetry);
+  }
+  ++sequence_;
+  append_began_.reset();
+  co_return !stopped_;
+}
+
+net::asio::awaitable<JobReply> CellOwner::Handle(JobRequest request) {
+  const auto self = shared_from_this();
+  if (!ready_ || stopped_) co_return JobReply{ReplyKind::kNotOwner};
+  switch (request.kind) {
+    case RequestKind::kSubmit:
+      co_return co_await Submit(request);
+    case RequestKind::kCancel:
+      co_return co_await Cancel(request);
+    case RequestKind::kStatus:
+      co_return ShowStatus(request.job);
+    case RequestKind::kCount:
+      if (!is_fresh_()) co_return JobReply{ReplyKind::kNotOwner};
+      co_return JobReply{ReplyKind::kCount, scheduler_.Pending(request.queue)};
+  }
+  co_return JobReply{ReplyKind::kNotOwner};
+}
+
+net::asio::awaitable<JobReply> CellOwner::Submit(const JobRequest& request) {
+  if (!scheduler_.Knows(request.job)) {
+    if (draining_) co_return JobReply{ReplyKind::kNotOwner};
+    if (append_began_ && Now() - *append_began_ > settings_.store_stalled) {
+      co_return JobReply{ReplyKind::kUnavailable};
+    }
+    const jobs::QueueConfig* queue = catalog_.FindQueue(request.queue);
+    if (!queue) co_return JobReply{ReplyKind::kNotOwner};
+    const jobs::SubmitVerdict verdict =
+        scheduler_.Submit(request.job, *queue, request.spec,
+                          clock_.Wall().count, Now());
+    if (verdict == jobs::SubmitVerdict::kTooManyJobs) {
+      co_return JobReply{ReplyKind::kBusy};
+    }
+    dirty_.NotifyAll();
+  }
+  const Millis until = Now() + Millis(request.patience_ms);
+  while (!scheduler_.IsAccepted(request.job)) {
+    if (stopped_ || Now() >= until) co_return JobReply{ReplyKind::kInDoubt};
+    co_await flushed_.Wait();
+  }
+  co_return JobReply{ReplyKind::kAccepted};
+}
+
+net::asio::awaitable<JobReply> CellOwner::Cancel(const JobRequest& request) {
+  if (!scheduler_.Knows(request.job)) {
+    co_return JobReply{
+        is_fresh_() ? ReplyKind::kNoSuchJob : ReplyKind::kNotOwner, 0};
+  }
+  scheduler_.Cancel(request.job, clock_.Wall().count);
+  Wake();
+  dirty_.NotifyAll();
+  const Millis until = Now() + Millis(request.patience_ms);
+  while (!scheduler_.IsEnded(request.job)) {
+    if (stopped_ || Now() >= until) co_return JobReply{ReplyKind::kInDoubt};
+    co_await flushed_.Wait();
+  }
+  co_return JobReply{ReplyKind::kCancelled};
+}
+
+JobReply CellOwner::ShowStatus(const std::string& job) const {
+  const std::optional<jobs::ShownState> state = scheduler_.Shown(job);
+  if (!state) {
+    return {is_fresh_() ? ReplyKind::kNoSuchJob : ReplyKind::kNotOwner};
+  }
+  switch (*state) {
+    case jobs::ShownState::kQueued:
+      return {ReplyKind::kQueued};
+    case jobs::ShownState::kRunning:
+      return {ReplyKind::kRunning};
+    case jobs::ShownState::kDone:
+      return {ReplyKind::kDone};
+    case jobs::ShownState::kFailed:
+      return {ReplyKind::kFailed};
+    case jobs::ShownState::kCancelled:
+      return {ReplyKind::kWasCancelled};
+  }
+  return {ReplyKind::kNotOwner};
+}
+
+net::asio::awaitable<void> CellOwner::Drain(Millis patience) {
+  const auto self = shared_from_this();
+  draining_ = true;
+  const Millis until = Now() + patience;
+  while (!stopped_ && Now() < until) {
+    if (!append_began_ && !scheduler_.HasBatch()) co_return;
+    co_await net::Sleep(kDrainCheck);
+  }
+}
+
+}  // namespace basilspur::cell
--- /dev/null
+++ b/src/libs/cell/cell_owner.h
@@ -0,0 +1,113 @@
+#ifndef BASILSPUR_CELL_CELL_OWNER_H_
+#define BASILSPUR_CELL_CELL_OWNER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/clock.h"
+#include "cell/peer_messages.h"
+#include "cell/signal.h"
+#include "cell/store.h"
+#include "cell/vm_client.h"
+#include "jobs/scheduler.h"
+
+namespace basilspur::cell {
+
+struct CellOwnerSettings {
+  jobs::SchedulerSettings scheduler;
+  Millis flush_interval{15};     ///< Between appends to the journal.
+  Millis store_stalled{400};     ///< An append without an answer this long.
+  Millis idle_wait{2'000};       ///< Of a renewal at a VM without runs.
+  Millis busy_wait{1'000};       ///< Of a renewal at a VM with runs.
+  Millis mixed_wait{500};        ///< At a VM whose tails are watched.
+  Millis silent_pause{150};      ///< After a renewal without an answer.
+  std::size_t call_bytes = 1 << 20;  ///< Of the records in one append.
+};
+
+/// One ownership of a cell: carries out what its scheduler decides, writes the
+/// journal, renews the VMs' leases, and answers for the cell's jobs.
+///
+/// Thread safety: only from the thread of its io_context.
+class CellOwner : public std::enable_shared_from_this<CellOwner> {
+ public:
+  struct Ownership {
+    int cell = 0;
+    std::int64_t token = 0;
+    std::int64_t term = 1;
+  };
+
+  /// `is_fresh` tells whether this node may speak for the cell's unknown jobs;
+  /// `on_deposed` is called when another owner has shown itself.
+  /// Precondition: the references outlive the object.
+  CellOwner(net::asio::io_context& context, Store& store, VmClient& vms,
+            const Clock& clock, CellOwnerSettings settings,
+            Ownership ownership, std::function<bool()> is_fresh,
+            std::function<void()> on_deposed);
+
+  /// Bars earlier owners from the journal, reads it, and starts work.
+  /// Returns false if a later owner was there, or after Stop.
+  net::asio::awaitable<bool> TakeOver();
+
+  void OnCatalog(const jobs::Catalog& catalog);
+  void OnVmListed(const jobs::VmListing& listing);
+  void OnVmGone(const std::string& id);
+  /// Looks at what time alone changes. Call every 100 ms or so.
+  void Tick();
+
+  net::asio::awaitable<JobReply> Handle(JobRequest request);
+
+  /// Orders nothing more and waits until the journal holds all, at most
+  /// `patience`.
+  net::asio::awaitable<void> Drain(Millis patience);
+  void Stop();
+  bool IsReady() const { return ready_; }
+  const jobs::Scheduler& State() const { return scheduler_; }
+
+ private:
+  net::asio::awaitable<bool> BeginEpoch();
+  net::asio::awaitable<bool> ReadJournal();
+  net::asio::awaitable<void> RunJournal();
+  net::asio::awaitable<bool> Append(std::vector<KeyedRecord> records);
+  net::asio::awaitable<bool> Write(const jobs::JournalBatch& batch);
+  net::asio::awaitable<void> DriveVm(std::string id);
+  net::asio::awaitable<bool> RenewOnce(const jobs::VmListing& listing);
+  net::asio::awaitable<void> WaitForAcknowledgement(std::string id);
+  net::asio::awaitable<void> SendOrder(jobs::Order order);
+  net::asio::awaitable<JobReply> Submit(const JobRequest& request);
+  net::asio::awaitable<JobReply> Cancel(const JobRequest& request);
+  JobReply ShowStatus(const std::string& job) const;
+  Millis RenewalWait(const std::string& vm) const;
+  void Wake();
+  void RunPlan();
+  void Depose();
+  Millis Now() const { return clock_.Monotonic(); }
+
+  net::asio::io_context& context_;
+  Store& store_;
+  VmClient& vm_client_;
+  const Clock& clock_;
+  CellOwnerSettings settings_;
+  Ownership ownership_;
+  std::function<bool()> is_fresh_;
+  std::function<void()> on_deposed_;
+  jobs::Scheduler scheduler_;
+  jobs::Catalog catalog_;
+  Partition journal_;
+  Signal dirty_;
+  Signal flushed_;
+  std::int64_t sequence_ = 0;
+  std::optional<Millis> append_began_;
+  std::set<std::string> driven_;
+  bool plan_posted_ = false;
+  bool ready_ = false;
+  bool draining_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace basilspur::cell
+
+#endif  // BASILSPUR_CELL_CELL_OWNER_H_
--- /dev/null
+++ b/src/libs/cell/directory.h
@@ -0,0 +1,30 @@
+#ifndef BASILSPUR_CELL_DIRECTORY_H_
+#define BASILSPUR_CELL_DIRECTORY_H_
+
+#include <functional>
+#include <string>
+
+#include "jobs/vm_listing.h"
+
+namespace basilspur::cell {
+
+/// The platform's list of VMs, followed with a lag.
+///
+/// Thread safety: only from the thread of its io_context.
+class Directory {
+ public:
+  struct Callbacks {
+    std::function<void(const jobs::VmListing& listing)> on_listed;
+    std::function<void(const std::string& id)> on_gone;
+    std::function<void()> on_read;  ///< The list has been read to its end.
+  };
+
+  virtual ~Directory() = default;
+
+  /// Begins to follow the list. Further calls do nothing.
+  virtual void Start(Callbacks callbacks) = 0;
+};
+
+}  // namespace basilspur::cell
+
+#endif  // BASILSPUR_CELL_DIRECTORY_H_
--- /dev/null
+++ b/src/libs/cell/node.cc
@@ -0,0 +1,251 @@
+#include "cell/node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hashing.h"
+#include "base/logging.h"
+
+namespace basilspur::cell {
+
+static constexpr LogCategory kLog("node");
+static constexpr char kLayoutTopic[] = "keyed.layout";
+static constexpr char kLayoutKey[] = "layout";
+static constexpr char kPeerPath[] = "/jobs";
+
+Node::Node(net::asio::io_context& context, Store& store, VmClient& vms,
+           Directory& directory, const Clock& clock, NodeSettings settings)
+    : context_(context),
+      store_(store),
+      vm_client_(vms),
+      directory_(directory),
+      clock_(clock),
+      settings_(std::move(settings)),
+      peers_(context) {}
+
+Node::~Node() = default;
+
+void Node::Start() {
+  layout_watcher_ = std::make_shared<TopicWatcher>(
+      store_, Partition{kLayoutTopic, 0}, WatchSettings{},
+      [this](const KeyedRecord& record) { OnLayout(record); },
+      [this](std::int64_t end) { layout_end_ = end; });
+  net::asio::co_spawn(context_, layout_watcher_->Run(), net::asio::detached);
+  net::asio::co_spawn(context_, Run(), net::asio::detached);
+}
+
+bool Node::IsReady() const {
+  return catalog_.version >= 0 && layout_.cells > 0 && !leaving_;
+}
+
+void Node::OnCatalog(jobs::Catalog catalog) {
+  catalog_ = std::move(catalog);
+  for (const auto& member : members_) {
+    if (member->Owner()) member->Owner()->OnCatalog(catalog_);
+  }
+}
+
+void Node::OnLayout(const KeyedRecord& record) {
+  if (record.key != kLayoutKey || layout_.cells > 0) return;
+  const auto decoded = records::Decode<Layout>(record.value);
+  if (!IsOk(decoded) || ValueOf(decoded).cells <= 0) {
+    kLog.Error("event=layout_unreadable");
+    return;
+  }
+  layout_ = ValueOf(decoded);
+  kLog.Info("event=layout cells=" + std::to_string(layout_.cells));
+  for (int cell = 0; cell < layout_.cells; ++cell) {
+    const std::uint64_t seed = StableHash(settings_.identity.incarnation +
+                                          "/" + std::to_string(cell));
+    members_.push_back(std::make_shared<CellMember>(
+        context_, store_, clock_, settings_.identity, settings_.election, cell,
+        seed,
+        [this](CellOwner::Ownership ownership, std::function<bool()> is_fresh,
+               std::function<void()> on_deposed) {
+          return MakeOwner(ownership, std::move(is_fresh),
+                           std::move(on_deposed));
+        }));
+    members_.back()->Start();
+  }
+}
+
+std::shared_ptr<CellOwner> Node::MakeOwner(CellOwner::Ownership ownership,
+                                           std::function<bool()> is_fresh,
+                                           std::function<void()> on_deposed) {
+  FollowDirectory();
+  auto owner = std::make_shared<CellOwner>(
+      context_, store_, vm_client_, clock_, settings_.owner, ownership,
+      std::move(is_fresh), std::move(on_deposed));
+  owner->OnCatalog(catalog_);
+  for (const auto& [id, listing] : vms_) {
+    if (layout_.CellOfRack(listing.rack) == ownership.cell) {
+      owner->OnVmListed(listing);
+    }
+  }
+  return owner;
+}
+
+void Node::FollowDirectory() {
+  if (directory_started_) return;
+  directory_started_ = true;
+  Directory::Callbacks callbacks;
+  callbacks.on_listed = [this](const jobs::VmListing& vm) { OnListed(vm); };
+  callbacks.on_gone = [this](const std::string& id) { OnGone(id); };
+  callbacks.on_read = [] {};
+  directory_.Start(std::move(callbacks));
+}
+
+void Node::OnListed(const jobs::VmListing& listing) {
+  if (vms_.empty()) first_vm_ = clock_.Monotonic();
+  vms_[listing.id] = listing;
+  if (layout_.cells == 0) return;
+  const auto& member = members_[layout_.CellOfRack(listing.rack)];
+  if (member->Owner()) member->Owner()->OnVmListed(listing);
+}
+
+void Node::OnGone(const std::string& id) {
+  const auto found = vms_.find(id);
+  if (found == vms_.end()) return;
+  if (layout_.cells > 0) {
+    const auto& member = members_[layout_.CellOfRack(found->second.rack)];
+    if (member->Owner()) member->Owner()->OnVmGone(id);
+  }
+  vms_.erase(found);
+}
+
+int Node::OwnedCells() const {
+  return static_cast<int>(
+      std::count_if(members_.begin(), members_.end(),
+                    [](const auto& member) { return member->Owns(); }));
+}
+
+net::asio::awaitable<void> Node::Run() {
+  for (;;) {
+    co_await net::Sleep(settings_.tick);
+    for (const auto& member : members_) member->Tick(OwnedCells());
+    if (layout_.cells > 0 || layout_end_ < 0 || writing_layout_) continue;
+    FollowDirectory();
+    const bool settled =
+        !vms_.empty() &&
+        clock_.Monotonic() - first_vm_ >= settings_.layout_wait;
+    if (!settled || catalog_.version < 0) continue;
+    writing_layout_ = true;
+    net::asio::co_spawn(context_, WriteLayout(), net::asio::detached);
+  }
+}
+
+net::asio::awaitable<void> Node::WriteLayout() {
+  std::vector<jobs::VmListing> listings;
+  for (const auto& [id, listing] : vms_) listings.push_back(listing);
+  const Layout layout =
+      MakeLayout(listings, settings_.vms_per_cell, settings_.most_cells);
+  // Only the first writer succeeds; the watcher reads what it wrote.
+  const KeyedRecord written{kLayoutKey, records::Encode(layout), 0};
+  std::vector<KeyedRecord> records(1, written);
+  const Partition partition{kLayoutTopic, 0};
+  co_await store_.AppendAt(partition, 0, std::move(records));
+  writing_layout_ = false;
+}
+
+net::asio::awaitable<JobReply> Node::HandlePeer(JobRequest request) {
+  JobReply reply;
+  if (request.cell >= 0 &&
+      request.cell < static_cast<int>(members_.size()) &&
+      members_[request.cell]->Owner()) {
+    reply = co_await members_[request.cell]->Owner()->Handle(
+        std::move(request));
+  }
+  reply.incarnation = settings_.identity.incarnation;
+  co_return reply;
+}
+
+net::asio::awaitable<JobReply> Node::Handle(JobRequest request) {
+  if (layout_.cells == 0) co_return JobReply{ReplyKind::kUnavailable};
+  if (request.kind == RequestKind::kCount) {
+    co_return co_await CountAll(std::move(request));
+  }
+  request.cell = layout_.CellOfJob(request.job);
+  co_return co_await Ask(std::move(request));
+}
+
+net::asio::awaitable<JobReply> Node::CountAll(JobRequest request) {
+  JobReply sum{ReplyKind::kCount};
+  for (int cell = 0; cell < layout_.cells; ++cell) {
+    request.cell = cell;
+    const JobReply reply = co_await Ask(request);
+    if (reply.kind != ReplyKind::kCount) co_return reply;
+    sum.count += reply.count;
+  }
+  co_return sum;
+}
+
+net::asio::awaitable<JobReply> Node::Ask(JobRequest request) {
+  const Millis began = clock_.Monotonic();
+  const Millis patience =
+      Millis(request.patience_ms) - settings_.answer_margin;
+  bool in_doubt = false;
+  for (;;) {
+    const Millis spent = clock_.Monotonic() - began;
+    const Millis left = patience - spent;
+    const bool over =
+        left <= Millis(0) || (!in_doubt && spent > settings_.owner_patience);
+    if (over) {
+      co_return JobReply{in_doubt ? ReplyKind::kInDoubt
+                                  : ReplyKind::kUnavailable};
+    }
+    JobReply reply = co_await AskOnce(request, left);
+    if (reply.kind == ReplyKind::kInDoubt) in_doubt = true;
+    const bool again = reply.kind == ReplyKind::kNotOwner ||
+                       reply.kind == ReplyKind::kInDoubt;
+    // What was in doubt can't be refused any more.
+    const bool refused = reply.kind == ReplyKind::kBusy ||
+                         reply.kind == ReplyKind::kUnavailable;
+    if (!again && !(in_doubt && refused)) co_return reply;
+    co_await net::Sleep(settings_.owner_retry);
+  }
+}
+
+net::asio::awaitable<JobReply> Node::AskOnce(JobRequest request,
+                                             Millis patience) {
+  const std::shared_ptr<CellMember> member = members_[request.cell];
+  request.patience_ms = patience.count;
+  if (member->Owner()) {
+    co_return co_await member->Owner()->Handle(std::move(request));
+  }
+  const std::optional<OwnerRecord> owner = member->KnownOwner();
+  if (!owner || owner->incarnation == settings_.identity.incarnation) {
+    co_return JobReply{ReplyKind::kNotOwner};
+  }
+  net::HttpRequest message;
+  message.method = "POST";
+  message.target = kPeerPath;
+  const records::Bytes body = records::Encode(request);
+  message.body.assign(body.begin(), body.end());
+  const Result<net::HttpResponse> answer =
+      co_await peers_.Call(owner->address, std::move(message), patience);
+  if (!IsOk(answer)) {
+    const Error& error = ErrorOf(answer);
+    if (error.code == ErrorCode::kRefused) {
+      member->OnOwnerDead(owner->incarnation);
+    }
+    const bool sent = error.step != "connect";
+    co_return JobReply{sent ? ReplyKind::kInDoubt : ReplyKind::kNotOwner};
+  }
+  const std::string& text = ValueOf(answer).body;
+  const auto reply = records::Decode<JobReply>(
+      std::span(reinterpret_cast<const std::uint8_t*>(text.data()),
+                text.size()));
+  if (!IsOk(reply)) co_return JobReply{ReplyKind::kInDoubt};
+  if (ValueOf(reply).kind == ReplyKind::kNotOwner &&
+      ValueOf(reply).incarnation != owner->incarnation) {
+    member->OnOwnerDead(owner->incarnation);
+  }
+  co_return ValueOf(reply);
+}
+
+net::asio::awaitable<void> Node::Leave() {
+  leaving_ = true;
+  for (const auto& member : members_) co_await member->Leave();
+}
+
+}  // namespace basilspur::cell
--- /dev/null
+++ b/src/libs/cell/node.h
@@ -0,0 +1,92 @@
+#ifndef BASILSPUR_CELL_NODE_H_
+#define BASILSPUR_CELL_NODE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "cell/cell_member.h"
+#include "cell/directory.h"
+#include "cell/layout.h"
+#include "cell/peer_messages.h"
+#include "net/http_client.h"
+
+namespace basilspur::cell {
+
+struct NodeSettings {
+  CellMember::Identity identity;
+  ElectionSettings election;
+  CellOwnerSettings owner;
+  int vms_per_cell = 16;
+  int most_cells = 24;
+  Millis layout_wait{1'500};    ///< After the first VMs were listed.
+  Millis tick{100};
+  Millis owner_patience{700};   ///< For an owner, if nothing is in doubt.
+  Millis owner_retry{60};
+  Millis answer_margin{150};    ///< Left of a caller's time for the answer.
+};
+
+/// One entry: answers callers' questions about jobs, itself or through the
+/// owner of the job's cell, and owns cells while elected.
+///
+/// Thread safety: only from the thread of its io_context.
+class Node {
+ public:
+  /// Precondition: the references outlive the object.
+  Node(net::asio::io_context& context, Store& store, VmClient& vms,
+       Directory& directory, const Clock& clock, NodeSettings settings);
+  ~Node();
+
+  void Start();
+  /// A newer configuration is in force.
+  void OnCatalog(jobs::Catalog catalog);
+  const jobs::Catalog& Catalog() const { return catalog_; }
+  /// Can answer callers.
+  bool IsReady() const;
+  /// Answers within the request's patience. The request's cell is filled in.
+  net::asio::awaitable<JobReply> Handle(JobRequest request);
+  /// Answers a peer: only for cells that this node owns.
+  net::asio::awaitable<JobReply> HandlePeer(JobRequest request);
+  /// Hands over all cells; callers are answered on.
+  net::asio::awaitable<void> Leave();
+
+ private:
+  net::asio::awaitable<void> Run();
+  net::asio::awaitable<JobReply> Ask(JobRequest request);
+  net::asio::awaitable<JobReply> AskOnce(JobRequest request, Millis patience);
+  net::asio::awaitable<JobReply> CountAll(JobRequest request);
+  net::asio::awaitable<void> WriteLayout();
+  void OnLayout(const KeyedRecord& record);
+  void OnListed(const jobs::VmListing& listing);
+  void OnGone(const std::string& id);
+  void FollowDirectory();
+  int OwnedCells() const;
+  std::shared_ptr<CellOwner> MakeOwner(CellOwner::Ownership ownership,
+                                       std::function<bool()> is_fresh,
+                                       std::function<void()> on_deposed);
+
+  net::asio::io_context& context_;
+  Store& store_;
+  VmClient& vm_client_;
+  Directory& directory_;
+  const Clock& clock_;
+  NodeSettings settings_;
+  net::HttpClient peers_;
+  jobs::Catalog catalog_;
+  Layout layout_;
+  std::int64_t layout_end_ = -1;
+  std::shared_ptr<TopicWatcher> layout_watcher_;
+  std::map<std::string, jobs::VmListing> vms_;
+  Millis first_vm_;
+  bool directory_started_ = false;
+  bool writing_layout_ = false;
+  bool leaving_ = false;
+  std::vector<std::shared_ptr<CellMember>> members_;
+};
+
+}  // namespace basilspur::cell
+
+#endif  // BASILSPUR_CELL_NODE_H_
--- /dev/null
+++ b/src/libs/cell/owner_record.h
@@ -0,0 +1,31 @@
+#ifndef BASILSPUR_CELL_OWNER_RECORD_H_
+#define BASILSPUR_CELL_OWNER_RECORD_H_
+
+#include <cstdint>
+#include <string>
+
+namespace basilspur::cell {
+
+/// Says who owns a cell. Written on a condition, so that records follow one
+/// another without gaps; the offset of the record that began an ownership is
+/// its fencing token.
+///
+/// Thread safety: a plain value.
+struct OwnerRecord {
+  std::string node;
+  std::string incarnation;  ///< Of the node's process.
+  std::string address;      ///< Where peers reach the owner.
+  std::int64_t token = -1;  ///< -1 in the record that begins an ownership.
+  std::int64_t term = 0;    ///< Counts ownerships from 1.
+  bool vacant = false;      ///< The owner has given the cell up.
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.node, self.incarnation, self.address, self.token, self.term,
+            self.vacant);
+  }
+};
+
+}  // namespace basilspur::cell
+
+#endif  // BASILSPUR_CELL_OWNER_RECORD_H_
--- /dev/null
+++ b/src/libs/cell/peer_messages.h
@@ -0,0 +1,58 @@
+#ifndef BASILSPUR_CELL_PEER_MESSAGES_H_
+#define BASILSPUR_CELL_PEER_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+
+#include "jobs/job_spec.h"
+
+namespace basilspur::cell {
+
+enum class RequestKind { kSubmit, kStatus, kCancel, kCount };
+
+/// What a caller asks of a queue, as entries pass it to the cell's owner.
+struct JobRequest {
+  RequestKind kind = RequestKind::kStatus;
+  int cell = 0;
+  std::string queue;
+  std::string job;
+  jobs::JobSpec spec;            ///< kSubmit.
+  std::int64_t patience_ms = 0;  ///< For the answer.
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.kind, self.cell, self.queue, self.job, self.spec,
+            self.patience_ms);
+  }
+};
+
+enum class ReplyKind {
+  kAccepted,      ///< The job is stored, now or before.
+  kCancelled,     ///< The cancelling is stored, or the job had ended.
+  kQueued,
+  kRunning,
+  kDone,
+  kFailed,
+  kWasCancelled,  ///< The state after a cancelling.
+  kNoSuchJob,
+  kCount,         ///< `count` jobs wait.
+  kBusy,          ///< Not accepted: too many jobs.
+  kUnavailable,   ///< Not accepted: the store can't be reached.
+  kInDoubt,       ///< It may have been stored or not.
+  kNotOwner,      ///< Ask the owner; nothing was done.
+};
+
+struct JobReply {
+  ReplyKind kind = ReplyKind::kNotOwner;
+  int count = 0;
+  std::string incarnation = {};  ///< Of the process that replied.
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.kind, self.count, self.incarnation);
+  }
+};
+
+}  // namespace basilspur::cell
+
+#endif  // BASILSPUR_CELL_PEER_MESSAGES_H_
--- /dev/null
+++ b/src/libs/jobs/catalog.h
@@ -0,0 +1,63 @@
+#ifndef BASILSPUR_JOBS_CATALOG_H_
+#define BASILSPUR_JOBS_CATALOG_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace basilspur::jobs {
+
+/// A queue that callers submit jobs to.
+struct QueueConfig {
+  std::string name;
+  std::string host;
+  std::string path_prefix;
+  std::string service;        ///< Its VMs run the queue's tasks.
+  int priority = 0;           ///< 0 is the most urgent.
+  int attempts = 1;           ///< Failed runs of a task that end its job.
+  double stretch = 1.0;       ///< Objective, by the longest chain of work.
+  std::int64_t slack_ms = 0;  ///< Added to the objective.
+};
+
+/// A pool of VMs.
+struct ServiceConfig {
+  std::string name;
+  bool enforces_capacity = false;
+  bool standby = false;  ///< Its VMs are off.
+};
+
+/// The operators' configuration in force, as far as jobs need it.
+///
+/// Thread safety: a plain value.
+struct Catalog {
+  std::int64_t version = -1;  ///< -1: none has been read yet.
+  std::vector<QueueConfig> queues;
+  std::vector<ServiceConfig> services;
+  std::int64_t max_body_bytes = 1 << 20;
+
+  /// Null if there is none of that name.
+  const QueueConfig* FindQueue(std::string_view name) const {
+    for (const QueueConfig& queue : queues) {
+      if (queue.name == name) return &queue;
+    }
+    return nullptr;
+  }
+
+  /// The queue with the longest prefix of `path` on `host`; null if none.
+  const QueueConfig* Route(std::string_view host, std::string_view path) const {
+    const QueueConfig* best = nullptr;
+    for (const QueueConfig& queue : queues) {
+      if (queue.host != host || !path.starts_with(queue.path_prefix)) continue;
+      if (best && best->path_prefix.size() >= queue.path_prefix.size()) {
+        continue;
+      }
+      best = &queue;
+    }
+    return best;
+  }
+};
+
+}  // namespace basilspur::jobs
+
+#endif  // BASILSPUR_JOBS_CATALOG_H_
--- /dev/null
+++ b/src/libs/jobs/job.cc
@@ -0,0 +1,103 @@
+#include "jobs/job.h"
+
+namespace basilspur::jobs {
+
+Occurrence* Job::FindOccurrence(int number) {
+  for (Occurrence& occurrence : occurrences) {
+    if (occurrence.number == number) return &occurrence;
+  }
+  return nullptr;
+}
+
+Task* Job::Find(const TaskRef& task) {
+  Occurrence* occurrence = FindOccurrence(task.occurrence);
+  if (!occurrence || task.step < 0 || task.index < 0) return nullptr;
+  const auto step = static_cast<std::size_t>(task.step);
+  if (step >= occurrence->steps.size()) return nullptr;
+  std::vector<Task>& tasks = occurrence->steps[step].tasks;
+  const auto index = static_cast<std::size_t>(task.index);
+  return index < tasks.size() ? &tasks[index] : nullptr;
+}
+
+Task& Job::At(const TaskRef& task) { return *Find(task); }
+
+bool Job::DependenciesDone(const Occurrence& occurrence, int step) const {
+  for (const int earlier : record.spec.steps[step].after) {
+    const Step& needed = occurrence.steps[earlier];
+    if (needed.done < static_cast<int>(needed.tasks.size())) return false;
+  }
+  return true;
+}
+
+Occurrence& Job::AddOccurrence(int number) {
+  Occurrence& occurrence = occurrences.emplace_back();
+  occurrence.number = number;
+  for (const StepSpec& spec : record.spec.steps) {
+    occurrence.steps.emplace_back().tasks.resize(spec.count);
+  }
+  return occurrence;
+}
+
+static bool IsFresh(const Task& task) {
+  return !task.done && task.last_run == 0 && task.failures == 0;
+}
+
+static TaskRecord MakeTaskRecord(const TaskRef& ref, const Task& task) {
+  TaskRecord record;
+  record.occurrence = ref.occurrence;
+  record.step = ref.step;
+  record.index = ref.index;
+  record.done = task.done;
+  record.failures = task.failures;
+  record.last_run = task.last_run;
+  if (!task.done) record.checkpoint = task.checkpoint;
+  for (const Run& run : task.runs) record.vms.push_back(run.vm);
+  return record;
+}
+
+ProgressRecord Job::MakeProgress() const {
+  ProgressRecord progress;
+  progress.finished_occurrences = finished_occurrences;
+  for (const Occurrence& occurrence : occurrences) {
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      const std::vector<Task>& tasks = occurrence.steps[step].tasks;
+      for (std::size_t index = 0; index < tasks.size(); ++index) {
+        if (IsFresh(tasks[index])) continue;
+        const TaskRef ref{id, occurrence.number, static_cast<int>(step),
+                          static_cast<int>(index)};
+        progress.tasks.push_back(MakeTaskRecord(ref, tasks[index]));
+      }
+    }
+  }
+  return progress;
+}
+
+void Job::ApplyProgress(const ProgressRecord& progress) {
+  finished_occurrences = progress.finished_occurrences;
+  for (const TaskRecord& saved : progress.tasks) {
+    if (!FindOccurrence(saved.occurrence)) AddOccurrence(saved.occurrence);
+    if (saved.occurrence >= next_occurrence) {
+      next_occurrence = saved.occurrence + 1;
+    }
+    Task* task = Find({id, saved.occurrence, saved.step, saved.index});
+    if (!task) continue;
+    task->done = saved.done;
+    task->failures = saved.failures;
+    task->last_run = saved.last_run;
+    task->checkpoint = saved.checkpoint;
+    begun = true;
+    if (saved.done) {
+      ++FindOccurrence(saved.occurrence)->steps[saved.step].done;
+      continue;
+    }
+    for (const std::string& vm : saved.vms) {
+      Run run;
+      run.number = saved.last_run;
+      run.vm = vm;
+      run.phase = RunPhase::kInDoubt;
+      task->runs.push_back(run);
+    }
+  }
+}
+
+}  // namespace basilspur::jobs
--- /dev/null
+++ b/src/libs/jobs/job_progress.h
@@ -0,0 +1,67 @@
+#ifndef BASILSPUR_JOBS_JOB_PROGRESS_H_
+#define BASILSPUR_JOBS_JOB_PROGRESS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "jobs/job_spec.h"
+
+namespace basilspur::jobs {
+
+enum class JobStatus { kActive, kDone, kFailed, kCancelled };
+
+/// Whether a status is final.
+constexpr bool IsFinal(JobStatus status) {
+  return status != JobStatus::kActive;
+}
+
+/// The journal's record of an accepted job. Once the job has ended, `spec` is
+/// empty and `ended_wall_ms` says when.
+struct JobRecord {
+  std::string queue;
+  std::string service;
+  JobSpec spec;
+  std::int64_t accepted_wall_ms = 0;
+  JobStatus status = JobStatus::kActive;
+  std::int64_t ended_wall_ms = 0;
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.queue, self.service, self.spec, self.accepted_wall_ms,
+            self.status, self.ended_wall_ms);
+  }
+};
+
+/// The journal's record of a task that has been started.
+struct TaskRecord {
+  int occurrence = 0;
+  int step = 0;
+  int index = 0;
+  bool done = false;
+  int failures = 0;
+  int last_run = 0;
+  std::string checkpoint;
+  std::vector<std::string> vms;  ///< Where runs may still be at work.
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.occurrence, self.step, self.index, self.done, self.failures,
+            self.last_run, self.checkpoint, self.vms);
+  }
+};
+
+/// The journal's record of how far a job is.
+struct ProgressRecord {
+  std::vector<TaskRecord> tasks;
+  int finished_occurrences = 0;
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.tasks, self.finished_occurrences);
+  }
+};
+
+}  // namespace basilspur::jobs
+
+#endif  // BASILSPUR_JOBS_JOB_PROGRESS_H_
--- /dev/null
+++ b/src/libs/jobs/job_spec.h
@@ -0,0 +1,43 @@
+#ifndef BASILSPUR_JOBS_JOB_SPEC_H_
+#define BASILSPUR_JOBS_JOB_SPEC_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "jobs/step_spec.h"
+
+namespace basilspur::jobs {
+
+/// What a caller submits: steps of tasks, run once or at set times.
+///
+/// Thread safety: a plain value.
+struct JobSpec {
+  std::string payload;  ///< Handed to each task as it came.
+  std::vector<StepSpec> steps;
+  std::int64_t first_start_ms = 0;  ///< Since the Unix epoch; 0: at once.
+  std::int64_t interval_ms = 0;     ///< Between the starts of occurrences.
+  std::int64_t repeats = 0;         ///< Occurrences; 0: one, at once.
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.payload, self.steps, self.first_start_ms, self.interval_ms,
+            self.repeats);
+  }
+
+  /// True if a step runs until the job is cancelled.
+  bool IsLongRunning() const {
+    for (const StepSpec& step : steps) {
+      if (step.long_running) return true;
+    }
+    return false;
+  }
+
+  int Occurrences() const {
+    return repeats > 0 ? static_cast<int>(repeats) : 1;
+  }
+};
+
+}  // namespace basilspur::jobs
+
+#endif  // BASILSPUR_JOBS_JOB_SPEC_H_
--- /dev/null
+++ b/src/libs/jobs/placer.h
@@ -0,0 +1,32 @@
+#ifndef BASILSPUR_JOBS_PLACER_H_
+#define BASILSPUR_JOBS_PLACER_H_
+
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "jobs/job.h"
+#include "jobs/vm.h"
+
+namespace basilspur::jobs {
+
+/// Picks VMs for tasks. A decision only: it changes nothing.
+///
+/// Thread safety: one thread at a time.
+class Placer {
+ public:
+  /// The best of `vms` for a run of `task`, or null if none has room.
+  /// `siblings` are the tasks of the same step and occurrence.
+  Vm* Pick(const std::vector<Vm*>& vms, const StepSpec& spec,
+           const std::string& service, const Task& task,
+           const std::vector<Task>& siblings, Millis now) const;
+
+ private:
+  bool IsEligible(const Vm& vm, const StepSpec& spec,
+                  const std::string& service, Millis now) const;
+  double Cost(const Vm& vm, const StepSpec& spec, const Task& task) const;
+};
+
+}  // namespace basilspur::jobs
+
+#endif  // BASILSPUR_JOBS_PLACER_H_
--- /dev/null
+++ b/src/libs/jobs/scheduler.cc
@@ -0,0 +1,287 @@
+#include "jobs/scheduler.h"
+
+#include <utility>
+
+namespace basilspur::jobs {
+
+Scheduler::Scheduler(SchedulerSettings settings) : settings_(settings) {}
+
+Scheduler::~Scheduler() = default;
+
+Job* Scheduler::FindJob(const std::string& id) {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+Vm* Scheduler::FindVm(const std::string& id) {
+  const auto found = vms_.find(id);
+  return found == vms_.end() ? nullptr : found->second.get();
+}
+
+void Scheduler::ApplyCatalog(const Catalog& catalog) {
+  catalog_ = catalog;
+  for (auto& [key, job] : active_) {
+    const QueueConfig* queue = catalog_.FindQueue(job->record.queue);
+    if (!queue || queue->service == job->record.service) continue;
+    job->record.service = queue->service;
+    job->record_dirty = true;
+    dirty_.insert(job->id);
+  }
+}
+
+void Scheduler::ListVm(const VmListing& listing, Millis now) {
+  Vm* known = FindVm(listing.id);
+  if (known) {
+    known->listing = listing;
+    known->listed = true;
+    return;
+  }
+  auto vm = std::make_unique<Vm>(listing, now + settings_.inherited_lease);
+  all_settled_ = false;
+  vms_[listing.id] = std::move(vm);
+}
+
+void Scheduler::UnlistVm(const std::string& id, Millis now) {
+  Vm* vm = FindVm(id);
+  if (!vm) return;
+  vm->listed = false;
+  if (vm->Runs().empty() && vm->HasLapsed(now)) vms_.erase(id);
+}
+
+void Scheduler::Restore(const std::string& id, const JobRecord& record,
+                        const std::optional<ProgressRecord>& progress,
+                        Millis now) {
+  auto owned = std::make_unique<Job>();
+  Job& job = *owned;
+  job.id = id;
+  job.record = record;
+  job.accepted = true;
+  job.old = true;
+  job.shown = record.status;
+  job.accepted_at = now;
+  jobs_[id] = std::move(owned);
+  if (IsFinal(record.status)) return;
+  job.has_progress = progress.has_value();
+  if (progress) job.ApplyProgress(*progress);
+  Activate(job);
+  for (Occurrence& occurrence : job.occurrences) {
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      const StepSpec& spec = job.record.spec.steps[step];
+      std::vector<Task>& tasks = occurrence.steps[step].tasks;
+      for (std::size_t index = 0; index < tasks.size(); ++index) {
+        for (const Run& run : tasks[index].runs) {
+          if (!FindVm(run.vm)) {
+            VmListing gone;
+            gone.id = run.vm;
+            ListVm(gone, now);
+            FindVm(run.vm)->listed = false;
+          }
+          FindVm(run.vm)->Add({{id, occurrence.number, static_cast<int>(step),
+                                static_cast<int>(index)},
+                               run.number},
+                              {spec.Charge(),
+                               spec.best_effort ? spec.need.cpu_millis : 0,
+                               spec.tail_target_ms, 0});
+        }
+      }
+    }
+  }
+}
+
+void Scheduler::FinishRestore(int first_run, Millis now) {
+  first_run_ = first_run;
+  CheckLapses(now);
+}
+
+void Scheduler::Activate(Job& job) {
+  const QueueConfig* queue = catalog_.FindQueue(job.record.queue);
+  const int priority = queue ? queue->priority : 0;
+  active_[{priority, {job.record.accepted_wall_ms, job.id}}] = &job;
+}
+
+SubmitVerdict Scheduler::Submit(const std::string& id, const QueueConfig& queue,
+                                JobSpec spec, std::int64_t wall_ms,
+                                Millis now) {
+  if (FindJob(id)) return SubmitVerdict::kKnown;
+  if (active_.size() >= settings_.max_active_jobs) {
+    return SubmitVerdict::kTooManyJobs;
+  }
+  auto job = std::make_unique<Job>();
+  job->id = id;
+  job->record.queue = queue.name;
+  job->record.service = queue.service;
+  job->record.spec = std::move(spec);
+  job->record.accepted_wall_ms = wall_ms;
+  job->record_dirty = true;
+  job->accepted_at = now;
+  dirty_.insert(id);
+  jobs_[id] = std::move(job);
+  return SubmitVerdict::kNew;
+}
+
+bool Scheduler::Cancel(const std::string& id, std::int64_t wall_ms) {
+  Job* job = FindJob(id);
+  if (!job) return false;
+  if (!IsFinal(job->record.status)) {
+    EndJob(*job, JobStatus::kCancelled, wall_ms);
+  }
+  return true;
+}
+
+bool Scheduler::Knows(const std::string& id) const { return jobs_.contains(id); }
+
+bool Scheduler::IsAccepted(const std::string& id) const {
+  const auto found = jobs_.find(id);
+  return found != jobs_.end() && found->second->accepted;
+}
+
+bool Scheduler::IsEnded(const std::string& id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() || IsFinal(found->second->shown);
+}
+
+std::optional<ShownState> Scheduler::Shown(const std::string& id) const {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return std::nullopt;
+  const Job& job = *found->second;
+  switch (job.shown) {
+    case JobStatus::kDone:
+      return ShownState::kDone;
+    case JobStatus::kFailed:
+      return ShownState::kFailed;
+    case JobStatus::kCancelled:
+      return ShownState::kCancelled;
+    case JobStatus::kActive:
+      break;
+  }
+  return job.begun ? ShownState::kRunning : ShownState::kQueued;
+}
+
+int Scheduler::Pending(std::string_view queue) const {
+  int pending = 0;
+  for (const auto& [key, job] : active_) {
+    if (!job->begun && job->accepted && job->record.queue == queue) ++pending;
+  }
+  return pending;
+}
+
+int Scheduler::WaitingTasks() const {
+  int waiting = 0;
+  for (const auto& [key, job] : active_) {
+    for (const Occurrence& occurrence : job->occurrences) {
+      for (const Step& step : occurrence.steps) {
+        for (const Task& task : step.tasks) {
+          if (!task.done && task.runs.empty()) ++waiting;
+        }
+      }
+    }
+  }
+  return waiting;
+}
+
+void Scheduler::MarkProgress(Job& job) {
+  if (IsFinal(job.record.status)) return;
+  job.progress_dirty = true;
+  dirty_.insert(job.id);
+}
+
+void Scheduler::EndJob(Job& job, JobStatus status, std::int64_t wall_ms) {
+  job.record.status = status;
+  job.record.ended_wall_ms = wall_ms;
+  job.record_dirty = true;
+  job.progress_dirty = false;
+  dirty_.insert(job.id);
+  ending_.insert(job.id);
+  std::erase_if(active_, [&](const auto& item) { return item.second == &job; });
+}
+
+bool Scheduler::HasBatch() const {
+  return !dirty_.empty() || !dropped_.empty() || !new_ends_.empty();
+}
+
+JournalBatch Scheduler::TakeBatch(std::int64_t wall_ms) {
+  ForgetEndedJobs(wall_ms);
+  JournalBatch batch;
+  batch.entries = std::move(dropped_);
+  dropped_.clear();
+  for (const std::string& id : dirty_) {
+    Job& job = *FindJob(id);
+    batch.jobs[id] = job.record.status;
+    const bool final = IsFinal(job.record.status);
+    if (job.record_dirty) {
+      JobRecord record = job.record;
+      if (final) record.spec = {};
+      batch.entries.push_back({"j" + id, records::Encode(record)});
+    }
+    if (final && job.has_progress) batch.entries.push_back({"p" + id, {}});
+    if (job.progress_dirty) {
+      batch.entries.push_back({"p" + id, records::Encode(job.MakeProgress())});
+      job.has_progress = true;
+    }
+    if (final) job.has_progress = false;
+    job.record_dirty = job.progress_dirty = false;
+  }
+  dirty_.clear();
+  batch.ends = std::move(new_ends_);
+  new_ends_.clear();
+  return batch;
+}
+
+void Scheduler::OnDurable(const JournalBatch& batch) {
+  for (const auto& [id, status] : batch.jobs) {
+    Job* job = FindJob(id);
+    if (!job) continue;
+    if (!job->accepted) {
+      job->accepted = true;
+      if (!IsFinal(job->record.status)) Activate(*job);
+    }
+    job->shown = status;
+  }
+  for (const auto& [id, end] : batch.ends) {
+    Vm* vm = FindVm(id);
+    if (vm) vm->durable_end = end;
+  }
+}
+
+void Scheduler::ForgetEndedJobs(std::int64_t wall_ms) {
+  for (auto at = jobs_.begin(); at != jobs_.end();) {
+    const Job& job = *at->second;
+    const bool forget =
+        IsFinal(job.shown) && !dirty_.contains(job.id) &&
+        wall_ms - job.record.ended_wall_ms > settings_.status_time.count;
+    if (!forget) {
+      ++at;
+      continue;
+    }
+    dropped_.push_back({"j" + job.id, {}});
+    at = jobs_.erase(at);
+  }
+}
+
+std::optional<VmListing> Scheduler::Listing(const std::string& vm) const {
+  const auto found = vms_.find(vm);
+  if (found == vms_.end() || found->second->listing.address.empty()) {
+    return std::nullopt;
+  }
+  return found->second->listing;
+}
+
+VmLoad Scheduler::LoadOf(const std::string& vm) const {
+  const auto found = vms_.find(vm);
+  if (found == vms_.end() || found->second->Runs().empty()) {
+    return VmLoad::kIdle;
+  }
+  const Vm& known = *found->second;
+  const bool mixed = known.Serving() > 0 && known.BestEffortCpu() > 0;
+  return mixed ? VmLoad::kMixed : VmLoad::kBusy;
+}
+
+std::vector<VmListing> Scheduler::VmsToRenew() const {
+  std::vector<VmListing> renewed;
+  for (const auto& [id, vm] : vms_) {
+    if (!vm->listing.address.empty()) renewed.push_back(vm->listing);
+  }
+  return renewed;
+}
+
+}  // namespace basilspur::jobs
--- /dev/null
+++ b/src/libs/jobs/scheduler.h
@@ -0,0 +1,165 @@
+#ifndef BASILSPUR_JOBS_SCHEDULER_H_
+#define BASILSPUR_JOBS_SCHEDULER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "jobs/catalog.h"
+#include "jobs/job.h"
+#include "jobs/journal_batch.h"
+#include "jobs/order.h"
+#include "jobs/placer.h"
+#include "jobs/scheduler_settings.h"
+#include "jobs/vm.h"
+
+namespace basilspur::jobs {
+
+enum class SubmitVerdict { kNew, kKnown, kTooManyJobs };
+
+/// How closely a VM has to be watched.
+enum class VmLoad { kIdle, kBusy, kMixed };
+
+/// What callers are shown of a job.
+enum class ShownState { kQueued, kRunning, kDone, kFailed, kCancelled };
+
+/// Decides for one cell: which task runs where and when, what each report and
+/// lost answer means, and what has to be durable. It does no input or output;
+/// time is an argument, on a clock that counts suspensions.
+///
+/// Thread safety: one thread at a time.
+class Scheduler {
+ public:
+  explicit Scheduler(SchedulerSettings settings);
+  ~Scheduler();
+
+  /// Precondition: newer than the one before.
+  void ApplyCatalog(const Catalog& catalog);
+
+  /// A VM is on the list, or has changed there.
+  void ListVm(const VmListing& listing, Millis now);
+  /// A VM has left the list: it gets no new runs; what it has still counts.
+  void UnlistVm(const std::string& id, Millis now);
+
+  /// Takes a job in from the journal. Call for all before the first plan.
+  void Restore(const std::string& id, const JobRecord& record,
+               const std::optional<ProgressRecord>& progress, Millis now);
+  /// Ends the restoring. `first_run`: the lowest number for new runs.
+  void FinishRestore(int first_run, Millis now);
+
+  /// kNew and kKnown jobs are accepted once IsAccepted is true.
+  SubmitVerdict Submit(const std::string& id, const QueueConfig& queue,
+                       JobSpec spec, std::int64_t wall_ms, Millis now);
+  /// False if there is no such job.
+  bool Cancel(const std::string& id, std::int64_t wall_ms);
+  bool Knows(const std::string& id) const;
+  /// True once the journal holds the job.
+  bool IsAccepted(const std::string& id) const;
+  /// True once the journal holds the job's cancelling, or it had ended before.
+  bool IsEnded(const std::string& id) const;
+  std::optional<ShownState> Shown(const std::string& id) const;
+  /// Accepted jobs of a queue without a started task.
+  int Pending(std::string_view queue) const;
+
+  /// What has changed since the last call, for the journal. Empty entries and
+  /// ends: nothing has.
+  JournalBatch TakeBatch(std::int64_t wall_ms);
+  bool HasBatch() const;
+  /// The journal holds the batch.
+  void OnDurable(const JournalBatch& batch);
+
+  /// The deadline for a renewal or start that is sent now.
+  std::int64_t NextDeadline(const std::string& vm, Millis now);
+  /// The newest end of the VM that may be acknowledged.
+  std::int64_t AcknowledgedEnd(const std::string& vm) const;
+  /// Ends were taken in that may not be acknowledged yet.
+  bool HasUnacknowledgedEnds(const std::string& vm) const;
+  void OnReport(const std::string& vm, const VmReport& report, Millis sent,
+                Millis now);
+  /// A renewal was not answered.
+  void OnSilent(const std::string& vm);
+  /// The VM has restarted: nothing of this lifetime runs.
+  void OnOtherLife(const std::string& vm);
+  void OnOrderOutcome(const Order& order, OrderOutcome outcome,
+                      std::int64_t clock_ms, Millis sent, Millis now);
+
+  /// The orders to send now. Call after events and every 100 ms or so.
+  std::vector<Order> Plan(std::int64_t wall_ms, Millis now);
+
+  /// Empty once the VM is of no more concern.
+  std::optional<VmListing> Listing(const std::string& vm) const;
+  VmLoad LoadOf(const std::string& vm) const;
+  /// VMs to renew leases at, with their addresses.
+  std::vector<VmListing> VmsToRenew() const;
+  std::size_t ActiveJobs() const { return active_.size(); }
+  int WaitingTasks() const;
+
+ private:
+  /// Urgent queues first, then first come, first served.
+  using OrderKey = std::pair<int, std::pair<std::int64_t, std::string>>;
+
+  Job* FindJob(const std::string& id);
+  Vm* FindVm(const std::string& id);
+  void Activate(Job& job);
+  void EndJob(Job& job, JobStatus status, std::int64_t wall_ms);
+  void ForgetEndedJobs(std::int64_t wall_ms);
+  void MarkProgress(Job& job);
+
+  void AdoptRunning(Vm& vm, const RunningRow& row, Millis now);
+  void TakeEnd(Vm& vm, const EndedRow& row, bool lease_lapsed, Millis now);
+  void ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent);
+  void ReleaseRun(Vm& vm, const TaskRef& ref, int number);
+  void GiveUpRuns(Vm& vm);
+  void CheckLapses(Millis now);
+  void ApplyDone(Job& job, const TaskRef& ref);
+  void ApplyFailure(Job& job, const TaskRef& ref, Vm& vm, Millis now);
+  void NoteVmFailure(Vm& vm, Millis now);
+  void FinishStep(Job& job, Occurrence& occurrence, int step);
+
+  void AddDueOccurrences(Job& job, std::int64_t wall_ms);
+  void PlanJob(Job& job, Millis now, std::vector<Order>& orders);
+  void PlanStep(Job& job, Occurrence& occurrence, int step, Millis now,
+                std::vector<Order>& orders);
+  void PlanGang(Job& job, Occurrence& occurrence, int step, Millis now,
+                std::vector<Order>& orders);
+  bool NeedsRun(const Task& task, Millis now) const;
+  void StartTask(Job& job, const TaskRef& ref, Vm& vm, int number, Millis now,
+                 std::vector<Order>& orders);
+  void PlanRetries(Job& job, Millis now, std::vector<Order>& orders);
+  void PlanPaces(Millis now, std::vector<Order>& orders);
+  void PlanStalls(Job& job, Millis now);
+  void PlanEndings(Millis now, std::vector<Order>& orders);
+  void PlanStrays(Millis now, std::vector<Order>& orders);
+  void OrderStop(const TaskRef& ref, Run& run, Millis now,
+                 std::vector<Order>& orders);
+  std::vector<Vm*> AllVms();
+  bool MayStart(const Job& job) const;
+  int NextRunNumber(const Job& job, const Task& task) const;
+
+  SchedulerSettings settings_;
+  Catalog catalog_;
+  Placer placer_;
+  std::map<std::string, std::unique_ptr<Job>> jobs_;
+  std::map<OrderKey, Job*> active_;
+  std::set<std::string> ending_;  ///< Ended jobs with runs to stop.
+  std::map<std::string, std::unique_ptr<Vm>> vms_;
+  std::set<std::string> dirty_;
+  std::vector<JournalEntry> dropped_;
+  std::map<std::string, std::int64_t> new_ends_;
+  /// Runs on VMs that no job wants, to be stopped: when last ordered.
+  std::map<std::pair<std::string, RunKey>, Millis> strays_;
+  bool all_settled_ = true;
+  Millis checked_;  ///< When retries, stalls and paces were last looked at.
+  int first_run_ = 1;
+  std::int64_t wall_ms_ = 0;
+};
+
+}  // namespace basilspur::jobs
+
+#endif  // BASILSPUR_JOBS_SCHEDULER_H_
--- /dev/null
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -0,0 +1,300 @@
+#include <algorithm>
+
+#include "jobs/scheduler.h"
+
+namespace basilspur::jobs {
+
+std::int64_t Scheduler::NextDeadline(const std::string& vm, Millis now) {
+  Vm* known = FindVm(vm);
+  if (!known) return 0;
+  const auto deadline = known->DeadlineFor(settings_.lease, now);
+  if (!deadline) return 0;
+  known->NoteDeadline(*deadline);
+  return *deadline;
+}
+
+std::int64_t Scheduler::AcknowledgedEnd(const std::string& vm) const {
+  const auto found = vms_.find(vm);
+  return found == vms_.end() ? 0 : found->second->durable_end;
+}
+
+bool Scheduler::HasUnacknowledgedEnds(const std::string& vm) const {
+  const auto found = vms_.find(vm);
+  return found != vms_.end() &&
+         found->second->last_end > found->second->durable_end;
+}
+
+void Scheduler::OnReport(const std::string& id, const VmReport& report,
+                         Millis sent, Millis now) {
+  Vm* vm = FindVm(id);
+  if (!vm) return;
+  bool lease_lapsed = vm->NoteClock(report.clock_ms, sent, now) || vm->lapsed;
+  for (const EndedRow& row : report.ended) {
+    if (row.number > vm->last_end && row.end == RunEnd::kLapsed) {
+      lease_lapsed = true;
+    }
+  }
+  for (const EndedRow& row : report.ended) {
+    if (row.number <= vm->last_end) continue;
+    TakeEnd(*vm, row, lease_lapsed, now);
+    vm->last_end = row.number;
+    new_ends_[id] = row.number;
+  }
+  for (const RunningRow& row : report.running) AdoptRunning(*vm, row, now);
+  ReleaseAbsentRuns(*vm, report, sent);
+  vm->reachable = true;
+  vm->lapsed = false;
+  vm->settled = true;
+}
+
+void Scheduler::AdoptRunning(Vm& vm, const RunningRow& row, Millis now) {
+  Job* job = FindJob(row.task.job);
+  Task* task = job ? job->Find(row.task) : nullptr;
+  if (job && !task && !IsFinal(job->record.status) &&
+      row.task.occurrence >= job->next_occurrence) {
+    job->AddOccurrence(row.task.occurrence);
+    job->next_occurrence = row.task.occurrence + 1;
+    task = job->Find(row.task);
+  }
+  Run* run = task ? task->FindRun(row.run) : nullptr;
+  const RunKey key{row.task, row.run};
+  const bool unrecorded = task && !run && !task->done && task->runs.empty() &&
+                          row.run > task->last_run && job->old &&
+                          !IsFinal(job->record.status);
+  if (unrecorded && !vm.lapsed) {
+    run = &task->runs.emplace_back();
+    run->number = row.run;
+    run->vm = vm.listing.id;
+    run->began = run->ordered = now;
+    task->last_run = row.run;
+    const StepSpec& spec = job->record.spec.steps[row.task.step];
+    vm.Add(key, {spec.Charge(), spec.best_effort ? spec.need.cpu_millis : 0,
+                 spec.tail_target_ms, 0});
+    job->begun = true;
+    MarkProgress(*job);
+  }
+  if (!run || run->vm != vm.listing.id) {
+    // What it takes is not known: nothing else is placed beside it.
+    vm.Add(key, {vm.Free(), 0, 0, 0});
+    strays_.try_emplace({vm.listing.id, key}, Millis(0));
+    return;
+  }
+  if (run->phase == RunPhase::kOrdered || run->phase == RunPhase::kInDoubt) {
+    run->phase = RunPhase::kRunning;
+    run->settled = now;
+    run->advanced = now;
+  }
+  if (row.percent > run->percent) {
+    run->percent = row.percent;
+    run->advanced = now;
+  }
+  if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
+  vm.NoteFigure(key, row.figure);
+}
+
+void Scheduler::ReleaseRun(Vm& vm, const TaskRef& ref, int number) {
+  vm.Remove({ref, number});
+  strays_.erase({vm.listing.id, {ref, number}});
+  Job* job = FindJob(ref.job);
+  Task* task = job ? job->Find(ref) : nullptr;
+  if (!task) return;
+  std::erase_if(task->runs, [&](const Run& run) {
+    return run.number == number && run.vm == vm.listing.id;
+  });
+}
+
+void Scheduler::ReleaseAbsentRuns(Vm& vm, const VmReport& report,
+                                  Millis sent) {
+  std::vector<RunKey> absent;
+  for (const auto& [key, charge] : vm.Runs()) {
+    const auto has = [&key = key](const auto& row) {
+      return row.task == key.first && row.run == key.second;
+    };
+    if (std::any_of(report.running.begin(), report.running.end(), has)) {
+      continue;
+    }
+    Job* job = FindJob(key.first.job);
+    Task* task = job ? job->Find(key.first) : nullptr;
+    Run* run = task ? task->FindRun(key.second) : nullptr;
+    if (!run) {
+      absent.push_back(key);
+      continue;
+    }
+    const bool inherited = run->ordered == Millis(0);
+    const bool was_there =
+        run->phase == RunPhase::kRunning && run->settled < sent;
+    const bool barred = run->stop_confirmed && run->settled < sent;
+    if (inherited || was_there || barred) absent.push_back(key);
+  }
+  for (const RunKey& key : absent) {
+    ReleaseRun(vm, key.first, key.second);
+    Job* job = FindJob(key.first.job);
+    if (job) MarkProgress(*job);
+  }
+}
+
+void Scheduler::TakeEnd(Vm& vm, const EndedRow& row, bool lease_lapsed,
+                        Millis now) {
+  Job* job = FindJob(row.task.job);
+  Task* task = job ? job->Find(row.task) : nullptr;
+  const Run* run = task ? task->FindRun(row.run) : nullptr;
+  const bool ours = run && run->vm == vm.listing.id;
+  const bool unrecorded = task && task->runs.empty() &&
+                          row.run > task->last_run && job->old;
+  ReleaseRun(vm, row.task, row.run);
+  if (!task || task->done || IsFinal(job->record.status)) return;
+  if (!ours && !unrecorded) return;
+  task->last_run = std::max(task->last_run, row.run);
+  job->begun = true;
+  MarkProgress(*job);
+  if (lease_lapsed) return;
+  if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
+  if (row.end == RunEnd::kDone) {
+    vm.failures_in_row = 0;
+    ApplyDone(*job, row.task);
+    return;
+  }
+  if (row.end == RunEnd::kFailed) ApplyFailure(*job, row.task, vm, now);
+}
+
+void Scheduler::ApplyDone(Job& job, const TaskRef& ref) {
+  if (job.record.spec.steps[ref.step].long_running) return;
+  Occurrence& occurrence = *job.FindOccurrence(ref.occurrence);
+  Step& step = occurrence.steps[ref.step];
+  if (job.record.spec.steps[ref.step].gang) {
+    for (Task& task : step.tasks) task.done = true;
+    step.done = static_cast<int>(step.tasks.size());
+  } else {
+    step.tasks[ref.index].done = true;
+    ++step.done;
+  }
+  FinishStep(job, occurrence, ref.step);
+}
+
+void Scheduler::FinishStep(Job& job, Occurrence& occurrence, int step) {
+  const Step& state = occurrence.steps[step];
+  if (state.done < static_cast<int>(state.tasks.size())) return;
+  ++occurrence.steps_done;
+  if (occurrence.steps_done < static_cast<int>(occurrence.steps.size())) return;
+  ++job.finished_occurrences;
+  if (job.finished_occurrences >= job.record.spec.Occurrences()) {
+    EndJob(job, JobStatus::kDone, wall_ms_);
+  }
+}
+
+void Scheduler::ApplyFailure(Job& job, const TaskRef& ref, Vm& vm,
+                             Millis now) {
+  Task& task = job.At(ref);
+  ++task.failures;
+  task.failed_on.push_back(vm.listing.id);
+  NoteVmFailure(vm, now);
+  const StepSpec& spec = job.record.spec.steps[ref.step];
+  if (spec.long_running) return;
+  int failures = task.failures;
+  if (spec.gang) {
+    failures = 0;
+    Occurrence& occurrence = *job.FindOccurrence(ref.occurrence);
+    for (const Task& member : occurrence.steps[ref.step].tasks) {
+      failures += member.failures;
+    }
+  }
+  const QueueConfig* queue = catalog_.FindQueue(job.record.queue);
+  const int attempts = queue ? queue->attempts : 1;
+  if (failures >= attempts) EndJob(job, JobStatus::kFailed, wall_ms_);
+}
+
+void Scheduler::NoteVmFailure(Vm& vm, Millis now) {
+  ++vm.failures_in_row;
+  if (vm.failures_in_row < settings_.failures_to_quarantine) return;
+  vm.quarantined_until = now + settings_.quarantine;
+}
+
+void Scheduler::OnSilent(const std::string& id) {
+  Vm* vm = FindVm(id);
+  if (vm) vm->reachable = false;
+}
+
+void Scheduler::GiveUpRuns(Vm& vm) {
+  std::vector<RunKey> keys;
+  for (const auto& [key, run] : vm.Runs()) keys.push_back(key);
+  for (const RunKey& key : keys) {
+    ReleaseRun(vm, key.first, key.second);
+    Job* job = FindJob(key.first.job);
+    if (job) MarkProgress(*job);
+  }
+  vm.Clear();
+}
+
+void Scheduler::OnOtherLife(const std::string& id) {
+  Vm* vm = FindVm(id);
+  if (!vm) return;
+  GiveUpRuns(*vm);
+  vm->reachable = false;
+  vm->settled = true;
+  vm->lapsed = true;
+}
+
+void Scheduler::CheckLapses(Millis now) {
+  all_settled_ = true;
+  for (auto at = vms_.begin(); at != vms_.end();) {
+    Vm& vm = *at->second;
+    if (!vm.reachable && !vm.lapsed && vm.HasLapsed(now)) {
+      GiveUpRuns(vm);
+      vm.lapsed = true;
+      vm.settled = true;
+    }
+    all_settled_ = all_settled_ && vm.settled;
+    const bool gone = !vm.listed && vm.Runs().empty() && vm.lapsed;
+    at = gone ? vms_.erase(at) : std::next(at);
+  }
+}
+
+void Scheduler::OnOrderOutcome(const Order& order, OrderOutcome outcome,
+                               std::int64_t clock_ms, Millis sent,
+                               Millis now) {
+  Vm* vm = FindVm(order.vm);
+  if (!vm) return;
+  if (clock_ms > 0) vm->NoteClock(clock_ms, sent, now);
+  if (outcome == OrderOutcome::kOtherLife) {
+    OnOtherLife(order.vm);
+    return;
+  }
+  Job* job = FindJob(order.task.job);
+  Task* task = job ? job->Find(order.task) : nullptr;
+  Run* run = task ? task->FindRun(order.run) : nullptr;
+  if (!run || run->vm != order.vm) return;
+  if (order.kind == OrderKind::kStop) {
+    if (outcome != OrderOutcome::kDone) return;
+    run->stop_confirmed = true;
+    run->settled = now;
+    return;
+  }
+  if (order.kind == OrderKind::kPace) return;
+  switch (outcome) {
+    case OrderOutcome::kDone:
+      if (run->phase == RunPhase::kStopping) return;
+      run->phase = RunPhase::kRunning;
+      run->settled = now;
+      run->advanced = now;
+      return;
+    case OrderOutcome::kUnknown:
+      if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kInDoubt;
+      return;
+    case OrderOutcome::kSuperseded:
+      // Its end is on the VM's list, or will be after the acknowledged ones.
+      if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kRunning;
+      run->settled = now;
+      return;
+    default:
+      break;
+  }
+  if (run->starts_sent > 1 && run->phase == RunPhase::kInDoubt) return;
+  ReleaseRun(*vm, order.task, order.run);
+  task->not_before = now + settings_.start_retry;
+  if (outcome == OrderOutcome::kRefused) {
+    task->failed_on.push_back(order.vm);
+    NoteVmFailure(*vm, now);
+  }
+}
+
+}  // namespace basilspur::jobs
--- /dev/null
+++ b/src/libs/jobs/scheduler_settings.h
@@ -0,0 +1,28 @@
+#ifndef BASILSPUR_JOBS_SCHEDULER_SETTINGS_H_
+#define BASILSPUR_JOBS_SCHEDULER_SETTINGS_H_
+
+#include "base/clock.h"
+
+namespace basilspur::jobs {
+
+/// Limits and times of a scheduler.
+struct SchedulerSettings {
+  Millis lease{5'000};           ///< Of all runs of a VM; renewals extend it.
+  Millis inherited_lease{17'500};  ///< Longest that an earlier owner's may last.
+  Millis start_retry{400};       ///< Between sendings of one start.
+  int starts_before_stop = 3;    ///< Sendings without an answer before a stop.
+  Millis stop_retry{500};        ///< Between sendings of one stop.
+  Millis check_interval{100};    ///< Of retries, stalls and paces.
+  Millis stall{3'000};           ///< Without progress, until a run is moved.
+  Millis quarantine{4'000};      ///< Without new runs, for a VM that fails all.
+  int failures_to_quarantine = 3;
+  Millis status_time{120'000};   ///< How long an ended job is remembered.
+  std::size_t max_active_jobs = 4'000;
+  Millis pace_interval{500};     ///< Between changes of a VM's pace.
+  double tail_to_throttle = 0.8;   ///< Share of the target.
+  double tail_to_release = 0.55;   ///< Share of the target.
+};
+
+}  // namespace basilspur::jobs
+
+#endif  // BASILSPUR_JOBS_SCHEDULER_SETTINGS_H_
--- /dev/null
+++ b/src/libs/jobs/task_ref.h
@@ -0,0 +1,29 @@
+#ifndef BASILSPUR_JOBS_TASK_REF_H_
+#define BASILSPUR_JOBS_TASK_REF_H_
+
+#include <compare>
+#include <string>
+
+namespace basilspur::jobs {
+
+/// Names a task. Runs of it are numbered from 1.
+///
+/// Thread safety: a plain value.
+struct TaskRef {
+  std::string job;
+  int occurrence = 0;
+  int step = 0;
+  int index = 0;
+
+  auto operator<=>(const TaskRef& other) const = default;
+
+  /// For logs: "JOB.OCCURRENCE.STEP.INDEX".
+  std::string ToString() const {
+    return job + "." + std::to_string(occurrence) + "." +
+           std::to_string(step) + "." + std::to_string(index);
+  }
+};
+
+}  // namespace basilspur::jobs
+
+#endif  // BASILSPUR_JOBS_TASK_REF_H_
--- /dev/null
+++ b/src/libs/jobs/vm.cc
@@ -0,0 +1,81 @@
+#include "jobs/vm.h"
+
+#include <algorithm>
+
+namespace basilspur::jobs {
+
+/// A VM's clock may be this much slow: 2% of the time, and a rounding.
+static constexpr std::int64_t kDriftPercent = 2;
+static constexpr Millis kLapseMargin(100);
+
+Vm::Vm(VmListing listing, Millis lapse)
+    : listing(std::move(listing)), inherited_lapse_(lapse) {}
+
+std::optional<std::int64_t> Vm::DeadlineFor(Millis lease, Millis now) const {
+  if (!clock_known_) return std::nullopt;
+  return clock_ms_ + (now - clock_at_ + lease).count;
+}
+
+void Vm::NoteDeadline(std::int64_t deadline_ms) {
+  max_deadline_ms_ = std::max(max_deadline_ms_, deadline_ms);
+}
+
+bool Vm::NoteClock(std::int64_t clock_ms, Millis sent, Millis now) {
+  const std::int64_t on_arrival = clock_ms - (now - sent).count;
+  const bool lapsed =
+      clock_known_ && max_deadline_ms_ > 0 && on_arrival > max_deadline_ms_;
+  clock_known_ = true;
+  if (clock_ms >= clock_ms_) {
+    clock_ms_ = clock_ms;
+    clock_at_ = now;
+  }
+  return lapsed;
+}
+
+bool Vm::HasLapsed(Millis now) const {
+  if (!clock_known_) return now > inherited_lapse_;
+  const std::int64_t left = max_deadline_ms_ - clock_ms_;
+  const Millis lapse = clock_at_ + Millis(left * 100 / (100 - kDriftPercent)) +
+                       kLapseMargin;
+  return now > lapse;
+}
+
+void Vm::Add(const RunKey& key, const RunOnVm& run) {
+  if (!runs_.emplace(key, run).second) return;
+  used_ = used_ + run.charge;
+  best_effort_cpu_ += run.best_effort_cpu;
+  if (run.tail_target_ms > 0) ++serving_;
+}
+
+void Vm::Remove(const RunKey& key) {
+  const auto found = runs_.find(key);
+  if (found == runs_.end()) return;
+  used_ = used_ - found->second.charge;
+  best_effort_cpu_ -= found->second.best_effort_cpu;
+  if (found->second.tail_target_ms > 0) --serving_;
+  runs_.erase(found);
+}
+
+void Vm::Clear() {
+  runs_.clear();
+  used_ = {};
+  best_effort_cpu_ = 0;
+  serving_ = 0;
+}
+
+void Vm::NoteFigure(const RunKey& key, std::int64_t figure) {
+  const auto found = runs_.find(key);
+  if (found != runs_.end()) found->second.figure = figure;
+}
+
+double Vm::WorstTail() const {
+  double worst = 0;
+  for (const auto& [key, run] : runs_) {
+    if (run.tail_target_ms <= 0) continue;
+    worst = std::max(worst, static_cast<double>(run.figure) /
+                                static_cast<double>(run.tail_target_ms));
+  }
+  return worst;
+}
+
+}  // namespace basilspur::jobs
--- /dev/null
+++ b/src/libs/jobs/vm.h
@@ -0,0 +1,87 @@
+#ifndef BASILSPUR_JOBS_VM_H_
+#define BASILSPUR_JOBS_VM_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "base/clock.h"
+#include "jobs/step_spec.h"
+#include "jobs/task_ref.h"
+#include "jobs/vm_listing.h"
+#include "jobs/vm_report.h"
+
+namespace basilspur::jobs {
+
+/// A run that counts against a VM's room.
+struct RunOnVm {
+  records::Resources charge;
+  std::int64_t best_effort_cpu = 0;
+  std::int64_t tail_target_ms = 0;
+  std::int64_t figure = 0;  ///< As in RunningRow.
+};
+
+using RunKey = std::pair<TaskRef, int>;
+
+/// What the owner knows of one lifetime of a VM: its room, what counts against
+/// it, and when the last lease that it may hold has surely run out.
+///
+/// Thread safety: as its scheduler.
+class Vm {
+ public:
+  /// A VM that an earlier owner may still have leased until `lapse`.
+  Vm(VmListing listing, Millis lapse);
+
+  /// The deadline on the VM's clock for a lease that begins now.
+  /// Empty before the first report.
+  std::optional<std::int64_t> DeadlineFor(Millis lease, Millis now) const;
+  /// Notes that an order or renewal with this deadline is on its way.
+  void NoteDeadline(std::int64_t deadline_ms);
+  /// Notes the VM's clock in an answer to a call of `sent`, which came at
+  /// `now`. Returns true if a lease ran out before that call arrived.
+  bool NoteClock(std::int64_t clock_ms, Millis sent, Millis now);
+  /// True once no run of an earlier lease can be at work.
+  bool HasLapsed(Millis now) const;
+
+  void Add(const RunKey& key, const RunOnVm& run);
+  void Remove(const RunKey& key);
+  void Clear();
+
+  records::Resources Free() const { return listing.room - used_; }
+  std::int64_t BestEffortCpu() const { return best_effort_cpu_; }
+  int Serving() const { return serving_; }
+  const std::map<RunKey, RunOnVm>& Runs() const { return runs_; }
+  /// The greatest share of its target that a task's tail has now.
+  double WorstTail() const;
+
+  VmListing listing;
+  bool listed = true;
+  bool reachable = false;
+  bool settled = false;   ///< Has answered this owner, or has lapsed.
+  bool lapsed = false;    ///< Its runs were given up.
+  std::int64_t last_end = 0;      ///< The newest end that was taken in.
+  std::int64_t durable_end = 0;   ///< The newest that the journal covers.
+  int failures_in_row = 0;
+  Millis quarantined_until;
+  Millis paced_at;
+  int pace = 100;  ///< Of best-effort runs, percent of their speed.
+
+  void NoteFigure(const RunKey& key, std::int64_t figure);
+
+ private:
+  records::Resources used_;
+  std::int64_t best_effort_cpu_ = 0;
+  int serving_ = 0;
+  std::map<RunKey, RunOnVm> runs_;
+  bool clock_known_ = false;
+  std::int64_t clock_ms_ = 0;
+  Millis clock_at_;
+  std::int64_t max_deadline_ms_ = 0;
+  Millis inherited_lapse_;
+};
+
+}  // namespace basilspur::jobs
+
+#endif  // BASILSPUR_JOBS_VM_H_
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -46,7 +46,9 @@
     co_await stream->async_connect(
         endpoint, asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
-      co_return Error{ErrorCode::kUnavailable, "connect", address,
+      const bool refused = failure == asio::error::connection_refused;
+      co_return Error{refused ? ErrorCode::kRefused : ErrorCode::kUnavailable,
+                      "connect", address,
                       failure.message()};
     }
     stream->socket().set_option(asio::ip::tcp::no_delay(true));
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -12,11 +12,21 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-static constexpr std::uint64_t kMaxRequestBytes = 64ULL << 20;
 static constexpr std::chrono::seconds kIdleTimeout(60);
 static constexpr Millis kAcceptRetryPause(50);
 
-using SharedHandler = std::shared_ptr<const HttpHandler>;
+/// What all connections of a server share.
+struct Service {
+  HttpHandler handler;
+  HttpServerOptions options;
+
+  bool IsDraining() const { return options.draining && *options.draining; }
+  void CountOpen(int change) const {
+    if (options.open) *options.open += change;
+  }
+};
+
+using SharedService = std::shared_ptr<const Service>;
 
 static HttpRequest ToRequest(http::request<http::string_body>&& message) {
   HttpRequest request;
@@ -30,20 +40,58 @@
   return request;
 }
 
+/// True for an error of the peer's bytes, not of the connection.
+static bool IsMalformed(const error_code& failure) {
+  return failure.category() ==
+             http::make_error_code(http::error::bad_method).category() &&
+         failure != http::error::end_of_stream &&
+         failure != http::error::partial_message;
+}
+
+static bool HasUnknownCoding(const http::request<http::string_body>& message) {
+  const auto coding = message.find(http::field::transfer_encoding);
+  return coding != message.end() &&
+         !beast::iequals(coding->value(), "chunked");
+}
+
+static asio::awaitable<void> Refuse(beast::tcp_stream& stream,
+                                    error_code reason) {
+  const http::status status = reason == http::error::body_limit
+                                  ? http::status::payload_too_large
+                                  : http::status::bad_request;
+  http::response<http::string_body> message(status, 11);
+  message.keep_alive(false);
+  message.body() = reason.message() + "\n";
+  message.prepare_payload();
+  error_code ignored;
+  co_await http::async_write(
+      stream, message, asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 static asio::awaitable<void> ServeConnection(beast::tcp_stream stream,
-                                             SharedHandler handler) {
+                                             SharedService service) {
   beast::flat_buffer buffer;
   for (;;) {
     stream.expires_after(kIdleTimeout);
     http::request_parser<http::string_body> parser;
-    parser.body_limit(kMaxRequestBytes);
+    parser.body_limit(service->options.max_body_bytes);
     error_code failure;
     co_await http::async_read(
         stream, buffer, parser,
         asio::redirect_error(asio::use_awaitable, failure));
-    if (failure) co_return;
-    const bool keep_alive = parser.get().keep_alive();
-    HttpResponse answer = co_await (*handler)(ToRequest(parser.release()));
+    if (failure) {
+      if (IsMalformed(failure)) co_await Refuse(stream, failure);
+      co_return;
+    }
+    if (HasUnknownCoding(parser.get())) {
+      co_await Refuse(stream, http::error::bad_transfer_encoding);
+      co_return;
+    }
+    service->CountOpen(1);
+    const bool caller_keeps = parser.get().keep_alive();
+    HttpResponse answer =
+        co_await service->handler(ToRequest(parser.release()));
+    const bool keep_alive = caller_keeps && !service->IsDraining();
     http::response<http::string_body> message(
         static_cast<http::status>(answer.status), 11);
     message.set(http::field::content_type, answer.content_type);
@@ -54,12 +102,13 @@
     stream.expires_after(kIdleTimeout);
     co_await http::async_write(
         stream, message, asio::redirect_error(asio::use_awaitable, failure));
+    service->CountOpen(-1);
     if (failure || !keep_alive) co_return;
   }
 }
 
 static asio::awaitable<void> AcceptLoop(asio::ip::tcp::acceptor acceptor,
-                                        SharedHandler handler) {
+                                        SharedService service) {
   const auto executor = co_await asio::this_coro::executor;
   for (;;) {
     error_code failure;
@@ -74,7 +123,7 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     asio::co_spawn(
         executor,
-        ServeConnection(beast::tcp_stream(std::move(socket)), handler),
+        ServeConnection(beast::tcp_stream(std::move(socket)), service),
         asio::detached);
   }
 }
@@ -94,14 +143,16 @@
 
 Result<std::uint16_t> ServeHttp(asio::io_context& context,
                                 const std::string& address,
-                                HttpHandler handler) {
+                                HttpHandler handler,
+                                HttpServerOptions options) {
   Result<asio::ip::tcp::acceptor> listening = Listen(context, address);
   if (!IsOk(listening)) return ErrorOf(listening);
   asio::ip::tcp::acceptor& acceptor = ValueOf(listening);
   const std::uint16_t port = acceptor.local_endpoint().port();
   asio::co_spawn(context,
                  AcceptLoop(std::move(acceptor),
-                            std::make_shared<HttpHandler>(std::move(handler))),
+                            std::make_shared<Service>(
+                                Service{std::move(handler), options})),
                  asio::detached);
   return port;
 }
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -11,6 +11,15 @@
 
 namespace basilspur::net {
 
+/// How a server treats its connections.
+struct HttpServerOptions {
+  std::uint64_t max_body_bytes = 64ULL << 20;
+  /// While true, each connection is closed after its next answer; may be null.
+  const bool* draining = nullptr;
+  /// Counts the requests that are being answered; may be null.
+  int* open = nullptr;
+};
+
 /// Answers one request.
 using HttpHandler =
     std::function<asio::awaitable<HttpResponse>(HttpRequest request)>;
@@ -20,7 +29,8 @@
 /// Thread safety: `handler` runs on the threads of `context`.
 Result<std::uint16_t> ServeHttp(asio::io_context& context,
                                 const std::string& address,
-                                HttpHandler handler);
+                                HttpHandler handler,
+                                HttpServerOptions options = {});
 
 /// Opens a listening socket. Errors name the address.
 Result<asio::ip::tcp::acceptor> Listen(asio::io_context& context,
