Learn which images raise which tails; place and pace best-effort runs by it

Ruled out: too little room (a fit of 8,250 reports shows one image that raises most tails and others that raise none).

--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -74,8 +74,9 @@
 
 net::asio::awaitable<bool> CellOwner::BeginEpoch() {
   while (!stopped_) {
+    const Producer producer{"owner", ownership_.token, 0};
     const AppendAnswer answer = co_await store_.AppendAs(
-        journal_, {"owner", ownership_.token, 0}, {});
+        journal_, producer, std::vector<KeyedRecord>());
     if (answer.verdict == AppendVerdict::kAppended) co_return true;
     if (answer.verdict == AppendVerdict::kFenced) {
       Depose();
--- a/src/libs/interference/interference_model.cc
+++ b/src/libs/interference/interference_model.cc
@@ -8,8 +8,6 @@
 /// Assumed of a pair that no one has measured yet.
 static constexpr double kUnknownWeight = 0.5;
 static constexpr double kUnknownVariance = 4.0;
-/// Variance of one measured slowdown.
-static constexpr double kMeasurementVariance = 0.02;
 /// Growth of a weight's variance with each measurement.
 static constexpr double kDriftVariance = 0.002;
 /// Measurements beyond this are taken for this: one broken report must not
@@ -55,7 +53,7 @@
   const std::lock_guard lock(mutex_);
   const double part = 1 / static_cast<double>(mix.services.size());
   double predicted = 1;
-  double innovation_variance = kMeasurementVariance;
+  double innovation_variance = measurement_variance_;
   for (const auto& service : mix.services) {
     for (const auto& [kind, share] : mix.shares) {
       const auto [found, is_new] = own_.try_emplace({service, kind});
--- a/src/libs/interference/interference_model.h
+++ b/src/libs/interference/interference_model.h
@@ -25,6 +25,11 @@
 /// Thread safety: any thread.
 class InterferenceModel {
  public:
+  InterferenceModel() = default;
+  /// `measurement_variance`: of one measured slowdown.
+  explicit InterferenceModel(double measurement_variance)
+      : measurement_variance_(measurement_variance) {}
+
   /// Expected slowdown of the services on a VM with this mix; 1: none.
   double Predict(const Mix& mix) const;
 
@@ -61,6 +66,9 @@
   void Join(const Pair& pair);
   static bool HasChanged(const Estimate& estimate);
 
+  static constexpr double kMeasurementVariance = 0.02;
+
+  const double measurement_variance_ = kMeasurementVariance;
   mutable std::mutex mutex_;
   Estimates own_;
   std::map<std::string, Estimates> of_peers_;
--- a/src/libs/jobs/placer.cc
+++ b/src/libs/jobs/placer.cc
@@ -8,10 +8,16 @@
 static constexpr double kOffDataRack = 200'000;
 static constexpr double kFailedThere = 400'000;
 static constexpr double kSqueezesBestEffort = 50'000;
-static constexpr double kBestEffortBesideServing = 100'000;
-static constexpr double kBestEffortCrowded = 100'000;
-/// Processors that long-running tasks take of a VM before the next one.
-static constexpr std::int64_t kServingCpuPerVm = 8'000;
+/// Per whole target that a tail is predicted to reach.
+static constexpr double kTailCost = 10'000;
+/// Long-running tasks with a target use about this much of what they declare.
+static constexpr std::int64_t kServingUsePercent = 55;
+
+/// Processor time that a VM's tasks leave unused.
+static std::int64_t Unused(const Vm& vm) {
+  const std::int64_t idle = vm.ServingCpu() * (100 - kServingUsePercent) / 100;
+  return vm.Free().cpu_millis + idle - vm.BestEffortCpu();
+}
 
 bool Placer::IsEligible(const Vm& vm, const StepSpec& spec,
                         const std::string& service, Millis now) const {
@@ -22,17 +28,9 @@
       !vm.listing.HasLabel(spec.required_label)) {
     return false;
   }
-  return spec.Charge().FitsIn(vm.Free());
-}
-
-static double ServingCost(const Vm& vm, const StepSpec& spec) {
-  const std::int64_t taken = vm.listing.room.cpu_millis - vm.Free().cpu_millis;
-  double cost = static_cast<double>(vm.BestEffortCpu());
-  if (vm.Serving() == 0) cost += static_cast<double>(spec.need.cpu_millis);
-  if (taken + spec.need.cpu_millis > kServingCpuPerVm) {
-    cost += static_cast<double>(taken);
-  }
-  return cost;
+  if (!spec.Charge().FitsIn(vm.Free())) return false;
+  if (!spec.best_effort) return true;
+  return Unused(vm) >= spec.need.cpu_millis;
 }
 
 double Placer::Cost(const Vm& vm, const StepSpec& spec,
@@ -45,14 +43,10 @@
       task.failed_on.end()) {
     cost += kFailedThere;
   }
-  const std::int64_t unused =
-      vm.Free().cpu_millis - vm.BestEffortCpu() - spec.need.cpu_millis;
-  if (spec.best_effort) {
-    if (vm.Serving() > 0) cost += kBestEffortBesideServing;
-    if (unused < 0) cost += kBestEffortCrowded;
-    return cost - static_cast<double>(unused);
-  }
-  if (spec.tail_target_ms > 0) return cost + ServingCost(vm, spec);
+  const std::int64_t unused = Unused(vm) - spec.need.cpu_millis;
+  if (spec.best_effort) return cost - static_cast<double>(unused);
+  // Tasks with targets disturb one another: spread them.
+  if (spec.tail_target_ms > 0) return cost - static_cast<double>(unused);
   if (unused < 0) cost += kSqueezesBestEffort - static_cast<double>(unused);
   return cost + static_cast<double>(vm.Free().cpu_millis);
 }
@@ -78,8 +72,15 @@
         CountOn(vm->listing.id, siblings) >= spec.max_per_vm) {
       continue;
     }
-    const double cost = Cost(*vm, spec, task);
+    double cost = Cost(*vm, spec, task);
     if (best && cost >= best_cost) continue;
+    if (spec.best_effort) {
+      const double tail =
+          tails_.Predict(*vm, spec.image, spec.need.cpu_millis);
+      if (!tails_.Allows(tail)) continue;
+      cost += kTailCost * tail;
+      if (best && cost >= best_cost) continue;
+    }
     best = vm;
     best_cost = cost;
   }
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "jobs/job.h"
+#include "jobs/tail_watch.h"
 #include "jobs/vm.h"
 
 namespace basilspur::jobs {
@@ -15,6 +16,9 @@
 /// Thread safety: one thread at a time.
 class Placer {
  public:
+  /// Precondition: `tails` outlives the placer.
+  explicit Placer(const TailWatch& tails) : tails_(tails) {}
+
   /// The best of `vms` for a run of `task`, or null if none has room.
   /// `siblings` are the tasks of the same step and occurrence.
   Vm* Pick(const std::vector<Vm*>& vms, const StepSpec& spec,
@@ -25,6 +29,8 @@
   bool IsEligible(const Vm& vm, const StepSpec& spec,
                   const std::string& service, Millis now) const;
   double Cost(const Vm& vm, const StepSpec& spec, const Task& task) const;
+
+  const TailWatch& tails_;
 };
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -4,7 +4,8 @@
 
 namespace basilspur::jobs {
 
-Scheduler::Scheduler(SchedulerSettings settings) : settings_(settings) {}
+Scheduler::Scheduler(SchedulerSettings settings)
+    : settings_(settings), tails_(settings.tails), placer_(tails_) {}
 
 Scheduler::~Scheduler() = default;
 
@@ -79,9 +80,7 @@
           FindVm(run.vm)->Add({{id, occurrence.number, static_cast<int>(step),
                                 static_cast<int>(index)},
                                run.number},
-                              {spec.Charge(),
-                               spec.best_effort ? spec.need.cpu_millis : 0,
-                               spec.tail_target_ms, 0});
+                              MakeRunOnVm(spec));
         }
       }
     }
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -17,6 +17,7 @@
 #include "jobs/order.h"
 #include "jobs/placer.h"
 #include "jobs/scheduler_settings.h"
+#include "jobs/tail_watch.h"
 #include "jobs/vm.h"
 
 namespace basilspur::jobs {
@@ -123,8 +124,10 @@
   void FinishStep(Job& job, Occurrence& occurrence, int step);
 
   void AddDueOccurrences(Job& job, std::int64_t wall_ms);
-  void PlanJob(Job& job, Millis now, std::vector<Order>& orders);
-  void PlanStep(Job& job, Occurrence& occurrence, int step, Millis now,
+  void PlanJob(Job& job, const std::vector<Vm*>& vms, Millis now,
+               std::vector<Order>& orders);
+  void PlanStep(Job& job, Occurrence& occurrence, int step,
+                const std::vector<Vm*>& vms, Millis now,
                 std::vector<Order>& orders);
   void PlanGang(Job& job, Occurrence& occurrence, int step, Millis now,
                 std::vector<Order>& orders);
@@ -144,6 +147,7 @@
 
   SchedulerSettings settings_;
   Catalog catalog_;
+  TailWatch tails_;
   Placer placer_;
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<OrderKey, Job*> active_;
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -15,12 +15,13 @@
     PlanStrays(now, orders);
   }
   PlanEndings(now, orders);
+  const std::vector<Vm*> vms = AllVms();
   for (auto& [key, job] : active_) {
     if (check) {
       PlanStalls(*job, now);
       PlanRetries(*job, now, orders);
     }
-    if (MayStart(*job)) PlanJob(*job, now, orders);
+    if (MayStart(*job)) PlanJob(*job, vms, now, orders);
   }
   return orders;
 }
@@ -48,7 +49,8 @@
   }
 }
 
-void Scheduler::PlanJob(Job& job, Millis now, std::vector<Order>& orders) {
+void Scheduler::PlanJob(Job& job, const std::vector<Vm*>& vms, Millis now,
+                        std::vector<Order>& orders) {
   AddDueOccurrences(job, wall_ms_);
   for (Occurrence& occurrence : job.occurrences) {
     for (int step = 0; step < static_cast<int>(occurrence.steps.size());
@@ -59,7 +61,7 @@
       if (job.record.spec.steps[step].gang) {
         PlanGang(job, occurrence, step, now, orders);
       } else {
-        PlanStep(job, occurrence, step, now, orders);
+        PlanStep(job, occurrence, step, vms, now, orders);
       }
     }
   }
@@ -73,14 +75,13 @@
   return std::max(task.last_run + 1, job.old ? first_run_ : 1);
 }
 
-void Scheduler::PlanStep(Job& job, Occurrence& occurrence, int step, Millis now,
+void Scheduler::PlanStep(Job& job, Occurrence& occurrence, int step,
+                         const std::vector<Vm*>& vms, Millis now,
                          std::vector<Order>& orders) {
   std::vector<Task>& tasks = occurrence.steps[step].tasks;
   const StepSpec& spec = job.record.spec.steps[step];
-  std::vector<Vm*> vms;
   for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
     if (!NeedsRun(tasks[index], now)) continue;
-    if (vms.empty()) vms = AllVms();
     Vm* vm = placer_.Pick(vms, spec, job.record.service, tasks[index], tasks,
                           now);
     if (!vm) return;
@@ -146,9 +147,7 @@
   run.began = run.ordered = run.advanced = now;
   run.starts_sent = 1;
   task.last_run = number;
-  vm.Add({ref, number},
-         {spec.Charge(), spec.best_effort ? spec.need.cpu_millis : 0,
-          spec.tail_target_ms, 0});
+  vm.Add({ref, number}, MakeRunOnVm(spec));
   orders.push_back(MakeStart(job, ref, run));
   orders.back().checkpoint = task.checkpoint;
   job.begun = true;
@@ -210,7 +209,11 @@
     if (spec.long_running && run.percent >= 100) return;
     const Vm* vm = FindVm(run.vm);
     if (!vm || !vm->reachable) return;
-    if (now - run.advanced < settings_.stall) return;
+    const auto charge = vm->Runs().find({ref, run.number});
+    const bool yields = charge != vm->Runs().end() &&
+                        charge->second.pace == 0 &&
+                        now - charge->second.paced_at >= settings_.yield;
+    if (!yields && now - run.advanced < settings_.stall) return;
     // The stop goes out with the retries.
     run.phase = RunPhase::kStopping;
     run.ordered = now - settings_.stop_retry;
@@ -250,30 +253,14 @@
 
 void Scheduler::PlanPaces(Millis now, std::vector<Order>& orders) {
   for (auto& [id, vm] : vms_) {
-    if (vm->BestEffortCpu() == 0 || !vm->reachable) continue;
-    if (now - vm->paced_at >= settings_.pace_interval) {
-      const double tail = vm->WorstTail();
-      vm->paced_at = now;
-      if (tail > settings_.tail_to_throttle) {
-        vm->pace = vm->pace > 20 ? vm->pace / 2 : 0;
-      } else if (tail < settings_.tail_to_release) {
-        vm->pace = std::min(100, vm->pace + 25);
-      }
-    }
-    for (const auto& [key, charge] : vm->Runs()) {
-      if (charge.best_effort_cpu == 0) continue;
-      Job* job = FindJob(key.first.job);
-      Task* task = job ? job->Find(key.first) : nullptr;
-      Run* run = task ? task->FindRun(key.second) : nullptr;
-      if (!run || run->phase != RunPhase::kRunning) continue;
-      if (run->pace == vm->pace) continue;
-      run->pace = vm->pace;
+    if (!vm->reachable) continue;
+    for (const PaceChange& change : tails_.Pace(*vm, now)) {
       Order order;
       order.kind = OrderKind::kPace;
       order.vm = id;
-      order.task = key.first;
-      order.run = key.second;
-      order.percent = vm->pace;
+      order.task = change.run.first;
+      order.run = change.run.second;
+      order.percent = change.percent;
       orders.push_back(order);
     }
   }
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -42,6 +42,7 @@
   }
   for (const RunningRow& row : report.running) AdoptRunning(*vm, row, now);
   ReleaseAbsentRuns(*vm, report, sent);
+  tails_.Observe(*vm, now);
   vm->reachable = true;
   vm->lapsed = false;
   vm->settled = true;
@@ -68,14 +69,13 @@
     run->began = run->ordered = now;
     task->last_run = row.run;
     const StepSpec& spec = job->record.spec.steps[row.task.step];
-    vm.Add(key, {spec.Charge(), spec.best_effort ? spec.need.cpu_millis : 0,
-                 spec.tail_target_ms, 0});
+    vm.Add(key, MakeRunOnVm(spec));
     job->begun = true;
     MarkProgress(*job);
   }
   if (!run || run->vm != vm.listing.id) {
     // What it takes is not known: nothing else is placed beside it.
-    vm.Add(key, {vm.Free(), 0, 0, 0});
+    vm.Add(key, {vm.Free(), 0, 0});
     strays_.try_emplace({vm.listing.id, key}, Millis(0));
     return;
   }
@@ -89,7 +89,7 @@
     run->advanced = now;
   }
   if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
-  vm.NoteFigure(key, row.figure);
+  if (RunOnVm* charged = vm.FindRun(key)) charged->figure = row.figure;
 }
 
 void Scheduler::ReleaseRun(Vm& vm, const TaskRef& ref, int number) {
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -2,6 +2,7 @@
 #define BASILSPUR_JOBS_SCHEDULER_SETTINGS_H_
 
 #include "base/clock.h"
+#include "jobs/tail_watch.h"
 
 namespace basilspur::jobs {
 
@@ -18,9 +19,8 @@
   int failures_to_quarantine = 3;
   Millis status_time{120'000};   ///< How long an ended job is remembered.
   std::size_t max_active_jobs = 4'000;
-  Millis pace_interval{500};     ///< Between changes of a VM's pace.
-  double tail_to_throttle = 0.8;   ///< Share of the target.
-  double tail_to_release = 0.55;   ///< Share of the target.
+  Millis yield{700};             ///< At pace 0, until a run is moved.
+  TailSettings tails;
 };
 
 }  // namespace basilspur::jobs
--- /dev/null
+++ b/src/libs/jobs/tail_watch.cc
@@ -0,0 +1,181 @@
+#include "jobs/tail_watch.h"
+
+#include <algorithm>
+
+namespace basilspur::jobs {
+
+using interference::Mix;
+
+/// Of one measured tail against its base; tails of half a second are rough.
+static constexpr double kTailVariance = 0.3;
+/// A base that no one has measured yet, as a share of the target.
+static constexpr double kUnknownBase = 0.4;
+static constexpr double kBaseGain = 0.03;
+/// Shares below this leave a tail as it is.
+static constexpr double kNoShare = 0.005;
+/// A throttled run gets this share of its pace, and from a floor on none.
+static constexpr double kThrottleFactor = 0.4;
+static constexpr int kPaceFloor = 15;
+/// Of a tail, for which best-effort runs must account to be throttled.
+static constexpr double kNotableContribution = 0.15;
+
+TailWatch::TailWatch(TailSettings settings)
+    : settings_(settings), model_(kTailVariance) {}
+
+double TailWatch::BaseOf(const std::string& image,
+                         std::int64_t target_ms) const {
+  const auto found = bases_.find(image);
+  if (found != bases_.end()) return found->second;
+  return kUnknownBase * static_cast<double>(target_ms);
+}
+
+/// The best-effort shares of a VM, as measured or as ordered.
+static std::map<std::string, double> SharesOf(const Vm& vm, bool measured) {
+  std::map<std::string, double> shares;
+  const auto room = static_cast<double>(vm.listing.room.cpu_millis);
+  for (const auto& [key, run] : vm.Runs()) {
+    if (run.best_effort_cpu == 0 || room <= 0) continue;
+    const double ordered =
+        static_cast<double>(run.best_effort_cpu) * run.pace / 100;
+    const double used =
+        measured ? static_cast<double>(run.figure) : ordered;
+    shares[run.image] += used / room;
+  }
+  return shares;
+}
+
+void TailWatch::Observe(Vm& vm, Millis now) {
+  if (vm.Serving() == 0) return;
+  if (now - vm.observed_at < settings_.observe_interval) return;
+  vm.observed_at = now;
+  vm.tail_lines.clear();
+  Mix mix;
+  mix.shares = SharesOf(vm, /*measured=*/true);
+  double total = 0;
+  for (const auto& [image, share] : mix.shares) total += share;
+  for (const auto& [key, entry] : vm.Runs()) {
+    RunOnVm& run = *vm.FindRun(key);
+    if (run.tail_target_ms <= 0 || run.figure <= 0) continue;
+    const auto tail = static_cast<double>(run.figure);
+    const bool over = run.figure > run.tail_target_ms;
+    if (!over) run.over_since = Millis(0);
+    if (over && run.over_since == Millis(0)) run.over_since = now;
+    double base = BaseOf(run.image, run.tail_target_ms);
+    if (total < kNoShare) {
+      const double capped =
+          std::min(tail, static_cast<double>(run.tail_target_ms));
+      bases_[run.image] = base + kBaseGain * (capped - base);
+      continue;
+    }
+    mix.services.assign(1, run.image);
+    model_.Observe(mix, tail / base);
+  }
+}
+
+std::vector<TailLine> TailWatch::LinesOf(const Vm& vm,
+                                         const std::string& image) const {
+  Mix mix;
+  mix.shares = SharesOf(vm, /*measured=*/false);
+  std::map<std::string, TailLine> lines;
+  for (const auto& [key, run] : vm.Runs()) {
+    if (run.tail_target_ms <= 0) continue;
+    const auto [found, is_new] = lines.try_emplace(run.image);
+    if (!is_new) continue;
+    mix.services.assign(1, run.image);
+    const double base = BaseOf(run.image, run.tail_target_ms) /
+                        static_cast<double>(run.tail_target_ms);
+    const double millicore =
+        1.0 / static_cast<double>(vm.listing.room.cpu_millis);
+    found->second.now = base * model_.Predict(mix);
+    found->second.per_millicore =
+        base * model_.Contribution(mix, image, millicore);
+  }
+  std::vector<TailLine> all;
+  for (const auto& [served, line] : lines) all.push_back(line);
+  return all;
+}
+
+double TailWatch::Predict(const Vm& vm, const std::string& image,
+                          std::int64_t cpu_millis) const {
+  if (vm.Serving() == 0) return 0;
+  auto found = vm.tail_lines.find(image);
+  if (found == vm.tail_lines.end()) {
+    found = vm.tail_lines.emplace(image, LinesOf(vm, image)).first;
+  }
+  double worst = 0;
+  for (const TailLine& line : found->second) {
+    worst = std::max(worst, line.now + line.per_millicore *
+                                           static_cast<double>(cpu_millis));
+  }
+  return worst;
+}
+
+std::vector<PaceChange> TailWatch::Pace(Vm& vm, Millis now) {
+  if (vm.BestEffortCpu() == 0 || vm.Serving() == 0) return {};
+  if (now - vm.paced_at < settings_.pace_interval) return {};
+  const RunOnVm* victim = nullptr;
+  double worst = 0;
+  for (const auto& [key, run] : vm.Runs()) {
+    if (run.tail_target_ms <= 0) continue;
+    const double share = static_cast<double>(run.figure) /
+                         static_cast<double>(run.tail_target_ms);
+    if (share <= worst) continue;
+    worst = share;
+    victim = &run;
+  }
+  std::vector<PaceChange> changes;
+  if (victim && worst > settings_.throttle_from) {
+    changes = Throttle(vm, *victim, now);
+  } else if (worst < settings_.release_below) {
+    changes = Release(vm, now);
+  }
+  if (!changes.empty()) vm.paced_at = now;
+  return changes;
+}
+
+std::vector<PaceChange> TailWatch::Throttle(Vm& vm, const RunOnVm& victim,
+                                            Millis now) {
+  const bool too_long =
+      victim.over_since != Millis(0) &&
+      now - victim.over_since >= settings_.longest_over;
+  Mix mix;
+  mix.services.assign(1, victim.image);
+  const auto room = static_cast<double>(vm.listing.room.cpu_millis);
+  const double slowdown = static_cast<double>(victim.figure) /
+                          BaseOf(victim.image, victim.tail_target_ms);
+  std::vector<PaceChange> changes;
+  for (const auto& [key, run] : vm.Runs()) {
+    if (run.best_effort_cpu == 0 || run.pace == 0) continue;
+    const double share = static_cast<double>(run.figure) / room;
+    const double added = model_.Contribution(mix, run.image, share);
+    if (too_long) {
+      changes.push_back({key, 0});
+    } else if (added > kNotableContribution * slowdown) {
+      const int pace = static_cast<int>(run.pace * kThrottleFactor);
+      changes.push_back({key, pace < kPaceFloor ? 0 : pace});
+    }
+  }
+  vm.tail_lines.clear();
+  for (const PaceChange& change : changes) {
+    RunOnVm& run = *vm.FindRun(change.run);
+    run.pace = change.percent;
+    run.paced_at = now;
+  }
+  return changes;
+}
+
+std::vector<PaceChange> TailWatch::Release(Vm& vm, Millis now) {
+  for (const auto& [key, entry] : vm.Runs()) {
+    if (entry.best_effort_cpu == 0 || entry.pace >= 100) continue;
+    const std::int64_t more = entry.best_effort_cpu * (100 - entry.pace) / 100;
+    if (!Allows(Predict(vm, entry.image, more))) continue;
+    RunOnVm& run = *vm.FindRun(key);
+    run.pace = 100;
+    vm.tail_lines.clear();
+    run.paced_at = now;
+    return {{key, 100}};
+  }
+  return {};
+}
+
+}  // namespace basilspur::jobs
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -8,6 +8,15 @@
 static constexpr std::int64_t kDriftPercent = 2;
 static constexpr Millis kLapseMargin(100);
 
+RunOnVm MakeRunOnVm(const StepSpec& spec) {
+  RunOnVm run;
+  run.charge = spec.Charge();
+  run.best_effort_cpu = spec.best_effort ? spec.need.cpu_millis : 0;
+  run.tail_target_ms = spec.tail_target_ms;
+  run.image = spec.image;
+  return run;
+}
+
 Vm::Vm(VmListing listing, Millis lapse)
     : listing(std::move(listing)), inherited_lapse_(lapse) {}
 
@@ -42,40 +51,39 @@
 
 void Vm::Add(const RunKey& key, const RunOnVm& run) {
   if (!runs_.emplace(key, run).second) return;
+  tail_lines.clear();
   used_ = used_ + run.charge;
   best_effort_cpu_ += run.best_effort_cpu;
-  if (run.tail_target_ms > 0) ++serving_;
+  if (run.tail_target_ms <= 0) return;
+  ++serving_;
+  serving_cpu_ += run.charge.cpu_millis;
 }
 
 void Vm::Remove(const RunKey& key) {
   const auto found = runs_.find(key);
   if (found == runs_.end()) return;
+  tail_lines.clear();
   used_ = used_ - found->second.charge;
   best_effort_cpu_ -= found->second.best_effort_cpu;
-  if (found->second.tail_target_ms > 0) --serving_;
+  if (found->second.tail_target_ms > 0) {
+    --serving_;
+    serving_cpu_ -= found->second.charge.cpu_millis;
+  }
   runs_.erase(found);
 }
 
 void Vm::Clear() {
   runs_.clear();
+  tail_lines.clear();
   used_ = {};
   best_effort_cpu_ = 0;
   serving_ = 0;
+  serving_cpu_ = 0;
 }
 
-void Vm::NoteFigure(const RunKey& key, std::int64_t figure) {
+RunOnVm* Vm::FindRun(const RunKey& key) {
   const auto found = runs_.find(key);
-  if (found != runs_.end()) found->second.figure = figure;
-}
-
-double Vm::WorstTail() const {
-  double worst = 0;
-  for (const auto& [key, run] : runs_) {
-    if (run.tail_target_ms <= 0) continue;
-    worst = std::max(worst, static_cast<double>(run.figure) /
-                                static_cast<double>(run.tail_target_ms));
-  }
-  return worst;
+  return found == runs_.end() ? nullptr : &found->second;
 }
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/clock.h"
 #include "jobs/step_spec.h"
@@ -20,11 +21,24 @@
   records::Resources charge;
   std::int64_t best_effort_cpu = 0;
   std::int64_t tail_target_ms = 0;
+  std::string image = {};
   std::int64_t figure = 0;  ///< As in RunningRow.
+  int pace = 100;           ///< Of a best-effort run, percent.
+  Millis paced_at = {};     ///< When the pace was last ordered.
+  Millis over_since = {};   ///< Since when the tail is over its target.
 };
 
+/// What a run of a step counts as.
+RunOnVm MakeRunOnVm(const StepSpec& spec);
+
 using RunKey = std::pair<TaskRef, int>;
 
+/// How far a tail is from its target, as a line over added best-effort work.
+struct TailLine {
+  double now = 0;          ///< Share of the target, with what runs.
+  double per_millicore = 0;  ///< Added by each thousandth of a core.
+};
+
 /// What the owner knows of one lifetime of a VM: its room, what counts against
 /// it, and when the last lease that it may hold has surely run out.
 ///
@@ -52,9 +66,10 @@
   records::Resources Free() const { return listing.room - used_; }
   std::int64_t BestEffortCpu() const { return best_effort_cpu_; }
   int Serving() const { return serving_; }
+  std::int64_t ServingCpu() const { return serving_cpu_; }
   const std::map<RunKey, RunOnVm>& Runs() const { return runs_; }
-  /// The greatest share of its target that a task's tail has now.
-  double WorstTail() const;
+  /// Null if the run is not there.
+  RunOnVm* FindRun(const RunKey& key);
 
   VmListing listing;
   bool listed = true;
@@ -65,15 +80,16 @@
   std::int64_t durable_end = 0;   ///< The newest that the journal covers.
   int failures_in_row = 0;
   Millis quarantined_until;
-  Millis paced_at;
-  int pace = 100;  ///< Of best-effort runs, percent of their speed.
-
-  void NoteFigure(const RunKey& key, std::int64_t figure);
+  Millis paced_at;     ///< When a pace was last ordered.
+  Millis observed_at;  ///< When its tails were last learned from.
+  /// By best-effort image; emptied whenever what runs changes.
+  mutable std::map<std::string, std::vector<TailLine>> tail_lines;
 
  private:
   records::Resources used_;
   std::int64_t best_effort_cpu_ = 0;
   int serving_ = 0;
+  std::int64_t serving_cpu_ = 0;
   std::map<RunKey, RunOnVm> runs_;
   bool clock_known_ = false;
   std::int64_t clock_ms_ = 0;
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -13,7 +13,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-static constexpr std::size_t kMaxIdlePerPeer = 4;
+static constexpr std::size_t kMaxIdlePerPeer = 12;
 static constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20;
 
 using Stream = std::unique_ptr<beast::tcp_stream>;
