--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -143,6 +143,20 @@
   // Callers' patience may be over without anything having been stored.
   flushed_.NotifyAll();
   Wake();
+  if (!ready_ || Now() - summarized_ < settings_.summary_interval) return;
+  summarized_ = Now();
+  const jobs::CellSummary summary = scheduler_.Summary(Now());
+  kLog.Info("event=cell_state" + CellField(ownership_) +
+            " jobs=" + std::to_string(summary.active_jobs) +
+            " runs=" + std::to_string(summary.runs) +
+            " waiting=" + std::to_string(summary.waiting_tasks) +
+            " waiting_long_running=" +
+            std::to_string(summary.waiting_long_running) +
+            " waiting_best_effort=" +
+            std::to_string(summary.waiting_best_effort) +
+            " free_cpu_millis=" + std::to_string(summary.free_cpu_millis) +
+            " unreachable_vms=" + std::to_string(summary.unreachable_vms) +
+            " oldest_wait_ms=" + std::to_string(summary.oldest_wait.count));
 }
 
 void CellOwner::Wake() {
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -24,6 +24,7 @@
   Millis idle_wait{2'000};       ///< Of a renewal at a VM without runs.
   Millis busy_wait{1'000};       ///< Of a renewal at a VM with runs.
   Millis mixed_wait{500};        ///< At a VM whose tails are watched.
+  Millis summary_interval{2'000};  ///< Between state lines in the log.
   Millis silent_pause{150};      ///< After a renewal without an answer.
   std::size_t call_bytes = 1 << 20;  ///< Of the records in one append.
 };
@@ -102,6 +103,7 @@
   std::int64_t sequence_ = 0;
   std::optional<Millis> append_began_;
   std::set<std::string> driven_;
+  Millis summarized_;
   bool plan_posted_ = false;
   bool ready_ = false;
   bool draining_ = false;
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -30,7 +30,6 @@
   Millis advanced;         ///< When its progress last rose.
   int starts_sent = 0;
   int percent = 0;
-  int pace = 100;
   bool stop_confirmed = false;
 };
 
--- a/src/libs/jobs/placer.cc
+++ b/src/libs/jobs/placer.cc
@@ -8,8 +8,13 @@
 static constexpr double kOffDataRack = 200'000;
 static constexpr double kFailedThere = 400'000;
 static constexpr double kSqueezesBestEffort = 50'000;
-/// Per whole target that a tail is predicted to reach.
-static constexpr double kTailCost = 10'000;
+static constexpr double kFirstServing = 100'000;
+/// Of a VM without tails, which images that disturb need more.
+static constexpr double kTakesQuietVm = 10'000;
+/// For each percent that a best-effort run has to be slowed down.
+static constexpr double kSlownessCost = 400;
+/// A best-effort run that could go only slower than this waits instead.
+static constexpr int kSlowestStart = 70;
 /// Long-running tasks with a target use about this much of what they declare.
 static constexpr std::int64_t kServingUsePercent = 55;
 
@@ -44,9 +49,12 @@
     cost += kFailedThere;
   }
   const std::int64_t unused = Unused(vm) - spec.need.cpu_millis;
-  if (spec.best_effort) return cost - static_cast<double>(unused);
-  // Tasks with targets disturb one another: spread them.
-  if (spec.tail_target_ms > 0) return cost - static_cast<double>(unused);
+  if (spec.best_effort) {
+    if (vm.Serving() == 0) cost += kTakesQuietVm;
+    return cost - static_cast<double>(unused);
+  }
+  // Packed, tasks with targets leave VMs to the images that disturb them.
+  if (spec.tail_target_ms > 0 && vm.Serving() == 0) cost += kFirstServing;
   if (unused < 0) cost += kSqueezesBestEffort - static_cast<double>(unused);
   return cost + static_cast<double>(vm.Free().cpu_millis);
 }
@@ -61,10 +69,10 @@
   return count;
 }
 
-Vm* Placer::Pick(const std::vector<Vm*>& vms, const StepSpec& spec,
-                 const std::string& service, const Task& task,
-                 const std::vector<Task>& siblings, Millis now) const {
-  Vm* best = nullptr;
+Place Placer::Pick(const std::vector<Vm*>& vms, const StepSpec& spec,
+                   const std::string& service, const Task& task,
+                   const std::vector<Task>& siblings, Millis now) const {
+  Place best;
   double best_cost = 0;
   for (Vm* vm : vms) {
     if (!IsEligible(*vm, spec, service, now)) continue;
@@ -73,15 +81,15 @@
       continue;
     }
     double cost = Cost(*vm, spec, task);
-    if (best && cost >= best_cost) continue;
+    if (best.vm && cost >= best_cost) continue;
+    int pace = 100;
     if (spec.best_effort) {
-      const double tail =
-          tails_.Predict(*vm, spec.image, spec.need.cpu_millis);
-      if (!tails_.Allows(tail)) continue;
-      cost += kTailCost * tail;
-      if (best && cost >= best_cost) continue;
+      pace = tails_.PaceFor(*vm, spec.image, spec.need.cpu_millis);
+      if (pace < kSlowestStart) continue;
+      cost += kSlownessCost * (100 - pace);
+      if (best.vm && cost >= best_cost) continue;
     }
-    best = vm;
+    best = {vm, pace};
     best_cost = cost;
   }
   return best;
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -11,6 +11,12 @@
 
 namespace basilspur::jobs {
 
+/// Where a run goes, and how fast it may work there.
+struct Place {
+  Vm* vm = nullptr;  ///< Null: there is no room.
+  int pace = 100;    ///< Percent.
+};
+
 /// Picks VMs for tasks. A decision only: it changes nothing.
 ///
 /// Thread safety: one thread at a time.
@@ -19,9 +25,9 @@
   /// Precondition: `tails` outlives the placer.
   explicit Placer(const TailWatch& tails) : tails_(tails) {}
 
-  /// The best of `vms` for a run of `task`, or null if none has room.
-  /// `siblings` are the tasks of the same step and occurrence.
-  Vm* Pick(const std::vector<Vm*>& vms, const StepSpec& spec,
+  /// The best of `vms` for a run of `task`. `siblings` are the tasks of the
+  /// same step and occurrence.
+  Place Pick(const std::vector<Vm*>& vms, const StepSpec& spec,
            const std::string& service, const Task& task,
            const std::vector<Task>& siblings, Millis now) const;
 
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -1,5 +1,6 @@
 #include "jobs/scheduler.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace basilspur::jobs {
@@ -164,18 +165,40 @@
   return pending;
 }
 
-int Scheduler::WaitingTasks() const {
-  int waiting = 0;
+static void CountStep(const StepSpec& spec, const Step& step,
+                      CellSummary& summary) {
+  for (const Task& task : step.tasks) {
+    summary.runs += static_cast<int>(task.runs.size());
+    if (task.done || !task.runs.empty()) continue;
+    ++summary.waiting_tasks;
+    if (spec.long_running) ++summary.waiting_long_running;
+    if (spec.best_effort) ++summary.waiting_best_effort;
+  }
+}
+
+CellSummary Scheduler::Summary(Millis now) const {
+  CellSummary summary;
+  summary.active_jobs = static_cast<int>(active_.size());
   for (const auto& [key, job] : active_) {
+    const int before = summary.waiting_tasks;
     for (const Occurrence& occurrence : job->occurrences) {
-      for (const Step& step : occurrence.steps) {
-        for (const Task& task : step.tasks) {
-          if (!task.done && task.runs.empty()) ++waiting;
+      for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        if (!job->DependenciesDone(occurrence, static_cast<int>(step))) {
+          continue;
         }
+        CountStep(job->record.spec.steps[step], occurrence.steps[step],
+                  summary);
       }
     }
+    if (summary.waiting_tasks == before) continue;
+    summary.oldest_wait = std::max(summary.oldest_wait, now - job->accepted_at);
+  }
+  for (const auto& [id, vm] : vms_) {
+    if (!vm->listed) continue;
+    if (!vm->reachable) ++summary.unreachable_vms;
+    summary.free_cpu_millis += vm->Free().cpu_millis;
   }
-  return waiting;
+  return summary;
 }
 
 void Scheduler::MarkProgress(Job& job) {
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -27,6 +27,18 @@
 /// How closely a VM has to be watched.
 enum class VmLoad { kIdle, kBusy, kMixed };
 
+/// How a cell stands, for logs and metrics.
+struct CellSummary {
+  int active_jobs = 0;
+  int waiting_tasks = 0;       ///< That could run now.
+  int waiting_long_running = 0;
+  int waiting_best_effort = 0;
+  int runs = 0;
+  int unreachable_vms = 0;
+  std::int64_t free_cpu_millis = 0;
+  Millis oldest_wait;          ///< Of a job with a task that could run.
+};
+
 /// What callers are shown of a job.
 enum class ShownState { kQueued, kRunning, kDone, kFailed, kCancelled };
 
@@ -99,7 +111,7 @@
   /// VMs to renew leases at, with their addresses.
   std::vector<VmListing> VmsToRenew() const;
   std::size_t ActiveJobs() const { return active_.size(); }
-  int WaitingTasks() const;
+  CellSummary Summary(Millis now) const;
 
  private:
   /// Urgent queues first, then first come, first served.
@@ -132,10 +144,10 @@
   void PlanGang(Job& job, Occurrence& occurrence, int step, Millis now,
                 std::vector<Order>& orders);
   bool NeedsRun(const Task& task, Millis now) const;
-  void StartTask(Job& job, const TaskRef& ref, Vm& vm, int number, Millis now,
-                 std::vector<Order>& orders);
+  void StartTask(Job& job, const TaskRef& ref, const Place& place, int number,
+                 Millis now, std::vector<Order>& orders);
   void PlanRetries(Job& job, Millis now, std::vector<Order>& orders);
-  void PlanPaces(Millis now, std::vector<Order>& orders);
+  void PlanPaces(std::vector<Order>& orders);
   void PlanStalls(Job& job, Millis now);
   void PlanEndings(Millis now, std::vector<Order>& orders);
   void PlanStrays(Millis now, std::vector<Order>& orders);
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -11,9 +11,10 @@
   const bool check = now - checked_ >= settings_.check_interval;
   if (check) {
     checked_ = now;
-    PlanPaces(now, orders);
+    for (auto& [id, vm] : vms_) tails_.Pace(*vm, now);
     PlanStrays(now, orders);
   }
+  PlanPaces(orders);
   PlanEndings(now, orders);
   const std::vector<Vm*> vms = AllVms();
   for (auto& [key, job] : active_) {
@@ -82,10 +83,10 @@
   const StepSpec& spec = job.record.spec.steps[step];
   for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
     if (!NeedsRun(tasks[index], now)) continue;
-    Vm* vm = placer_.Pick(vms, spec, job.record.service, tasks[index], tasks,
-                          now);
-    if (!vm) return;
-    StartTask(job, {job.id, occurrence.number, step, index}, *vm,
+    const Place place = placer_.Pick(vms, spec, job.record.service,
+                                     tasks[index], tasks, now);
+    if (!place.vm) return;
+    StartTask(job, {job.id, occurrence.number, step, index}, place,
               NextRunNumber(job, tasks[index]), now, orders);
   }
 }
@@ -110,11 +111,11 @@
     }
     std::vector<Order> placed;
     for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
-      Vm* vm = placer_.Pick(vms, spec, job.record.service, tasks[index], tasks,
-                            now);
-      if (!vm) break;
-      StartTask(job, {job.id, occurrence.number, step, index}, *vm, number, now,
-                placed);
+      const Place place = placer_.Pick(vms, spec, job.record.service,
+                                       tasks[index], tasks, now);
+      if (!place.vm) break;
+      StartTask(job, {job.id, occurrence.number, step, index}, place, number,
+                now, placed);
     }
     if (placed.size() == tasks.size()) {
       orders.insert(orders.end(), placed.begin(), placed.end());
@@ -137,8 +138,10 @@
   return order;
 }
 
-void Scheduler::StartTask(Job& job, const TaskRef& ref, Vm& vm, int number,
-                          Millis now, std::vector<Order>& orders) {
+void Scheduler::StartTask(Job& job, const TaskRef& ref, const Place& place,
+                          int number, Millis now,
+                          std::vector<Order>& orders) {
+  Vm& vm = *place.vm;
   Task& task = job.At(ref);
   const StepSpec& spec = job.record.spec.steps[ref.step];
   Run& run = task.runs.emplace_back();
@@ -147,7 +150,9 @@
   run.began = run.ordered = run.advanced = now;
   run.starts_sent = 1;
   task.last_run = number;
-  vm.Add({ref, number}, MakeRunOnVm(spec));
+  RunOnVm charge = MakeRunOnVm(spec);
+  charge.pace = place.pace;
+  vm.Add({ref, number}, charge);
   orders.push_back(MakeStart(job, ref, run));
   orders.back().checkpoint = task.checkpoint;
   job.begun = true;
@@ -251,16 +256,18 @@
   }
 }
 
-void Scheduler::PlanPaces(Millis now, std::vector<Order>& orders) {
+void Scheduler::PlanPaces(std::vector<Order>& orders) {
   for (auto& [id, vm] : vms_) {
-    if (!vm->reachable) continue;
-    for (const PaceChange& change : tails_.Pace(*vm, now)) {
+    if (!vm->reachable || vm->BestEffortCpu() == 0) continue;
+    for (const auto& [key, entry] : vm->Runs()) {
+      if (!entry.confirmed || entry.pace == entry.ordered_pace) continue;
+      vm->FindRun(key)->ordered_pace = entry.pace;
       Order order;
       order.kind = OrderKind::kPace;
       order.vm = id;
-      order.task = change.run.first;
-      order.run = change.run.second;
-      order.percent = change.percent;
+      order.task = key.first;
+      order.run = key.second;
+      order.percent = entry.pace;
       orders.push_back(order);
     }
   }
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -89,7 +89,10 @@
     run->advanced = now;
   }
   if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
-  if (RunOnVm* charged = vm.FindRun(key)) charged->figure = row.figure;
+  if (RunOnVm* charged = vm.FindRun(key)) {
+    charged->figure = row.figure;
+    charged->confirmed = true;
+  }
 }
 
 void Scheduler::ReleaseRun(Vm& vm, const TaskRef& ref, int number) {
@@ -269,13 +272,19 @@
     run->settled = now;
     return;
   }
-  if (order.kind == OrderKind::kPace) return;
+  RunOnVm* charge = vm->FindRun({order.task, order.run});
+  if (order.kind == OrderKind::kPace) {
+    // Without an answer it is sent again.
+    if (outcome == OrderOutcome::kUnknown && charge) charge->ordered_pace = -1;
+    return;
+  }
   switch (outcome) {
     case OrderOutcome::kDone:
       if (run->phase == RunPhase::kStopping) return;
       run->phase = RunPhase::kRunning;
       run->settled = now;
       run->advanced = now;
+      if (charge) charge->confirmed = true;
       return;
     case OrderOutcome::kUnknown:
       if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kInDoubt;
--- a/src/libs/jobs/tail_watch.cc
+++ b/src/libs/jobs/tail_watch.cc
@@ -16,6 +16,8 @@
 /// A throttled run gets this share of its pace, and from a floor on none.
 static constexpr double kThrottleFactor = 0.4;
 static constexpr int kPaceFloor = 15;
+/// In percent points; less is not worth an order.
+static constexpr int kSmallestRise = 10;
 /// Of a tail, for which best-effort runs must account to be throttled.
 static constexpr double kNotableContribution = 0.15;
 
@@ -95,24 +97,26 @@
   return all;
 }
 
-double TailWatch::Predict(const Vm& vm, const std::string& image,
-                          std::int64_t cpu_millis) const {
-  if (vm.Serving() == 0) return 0;
+int TailWatch::PaceFor(const Vm& vm, const std::string& image,
+                       std::int64_t cpu_millis) const {
+  if (vm.Serving() == 0) return 100;
   auto found = vm.tail_lines.find(image);
   if (found == vm.tail_lines.end()) {
     found = vm.tail_lines.emplace(image, LinesOf(vm, image)).first;
   }
-  double worst = 0;
+  double pace = 100;
   for (const TailLine& line : found->second) {
-    worst = std::max(worst, line.now + line.per_millicore *
-                                           static_cast<double>(cpu_millis));
+    const double left = settings_.place_limit - line.now;
+    if (left <= 0) return 0;
+    const double full = line.per_millicore * static_cast<double>(cpu_millis);
+    if (full > left) pace = std::min(pace, 100 * left / full);
   }
-  return worst;
+  return static_cast<int>(pace);
 }
 
-std::vector<PaceChange> TailWatch::Pace(Vm& vm, Millis now) {
-  if (vm.BestEffortCpu() == 0 || vm.Serving() == 0) return {};
-  if (now - vm.paced_at < settings_.pace_interval) return {};
+void TailWatch::Pace(Vm& vm, Millis now) {
+  if (vm.BestEffortCpu() == 0 || vm.Serving() == 0) return;
+  if (now - vm.paced_at < settings_.pace_interval) return;
   const RunOnVm* victim = nullptr;
   double worst = 0;
   for (const auto& [key, run] : vm.Runs()) {
@@ -123,18 +127,21 @@
     worst = share;
     victim = &run;
   }
-  std::vector<PaceChange> changes;
   if (victim && worst > settings_.throttle_from) {
-    changes = Throttle(vm, *victim, now);
+    Throttle(vm, *victim, now);
   } else if (worst < settings_.release_below) {
-    changes = Release(vm, now);
+    Release(vm, now);
   }
-  if (!changes.empty()) vm.paced_at = now;
-  return changes;
 }
 
-std::vector<PaceChange> TailWatch::Throttle(Vm& vm, const RunOnVm& victim,
-                                            Millis now) {
+void TailWatch::SetPace(Vm& vm, RunOnVm& run, int percent, Millis now) {
+  run.pace = percent;
+  run.paced_at = now;
+  vm.paced_at = now;
+  vm.tail_lines.clear();
+}
+
+void TailWatch::Throttle(Vm& vm, const RunOnVm& victim, Millis now) {
   const bool too_long =
       victim.over_since != Millis(0) &&
       now - victim.over_since >= settings_.longest_over;
@@ -143,39 +150,29 @@
   const auto room = static_cast<double>(vm.listing.room.cpu_millis);
   const double slowdown = static_cast<double>(victim.figure) /
                           BaseOf(victim.image, victim.tail_target_ms);
-  std::vector<PaceChange> changes;
-  for (const auto& [key, run] : vm.Runs()) {
-    if (run.best_effort_cpu == 0 || run.pace == 0) continue;
+  for (const auto& [key, entry] : vm.Runs()) {
+    if (entry.best_effort_cpu == 0 || entry.pace == 0) continue;
+    RunOnVm& run = *vm.FindRun(key);
     const double share = static_cast<double>(run.figure) / room;
     const double added = model_.Contribution(mix, run.image, share);
     if (too_long) {
-      changes.push_back({key, 0});
+      SetPace(vm, run, 0, now);
     } else if (added > kNotableContribution * slowdown) {
       const int pace = static_cast<int>(run.pace * kThrottleFactor);
-      changes.push_back({key, pace < kPaceFloor ? 0 : pace});
+      SetPace(vm, run, pace < kPaceFloor ? 0 : pace, now);
     }
   }
-  vm.tail_lines.clear();
-  for (const PaceChange& change : changes) {
-    RunOnVm& run = *vm.FindRun(change.run);
-    run.pace = change.percent;
-    run.paced_at = now;
-  }
-  return changes;
 }
 
-std::vector<PaceChange> TailWatch::Release(Vm& vm, Millis now) {
+void TailWatch::Release(Vm& vm, Millis now) {
   for (const auto& [key, entry] : vm.Runs()) {
     if (entry.best_effort_cpu == 0 || entry.pace >= 100) continue;
-    const std::int64_t more = entry.best_effort_cpu * (100 - entry.pace) / 100;
-    if (!Allows(Predict(vm, entry.image, more))) continue;
-    RunOnVm& run = *vm.FindRun(key);
-    run.pace = 100;
-    vm.tail_lines.clear();
-    run.paced_at = now;
-    return {{key, 100}};
+    const std::int64_t held = entry.best_effort_cpu * (100 - entry.pace) / 100;
+    const int more = PaceFor(vm, entry.image, held) * (100 - entry.pace) / 100;
+    if (more < kSmallestRise) continue;
+    SetPace(vm, *vm.FindRun(key), entry.pace + more, now);
+    return;
   }
-  return {};
 }
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/tail_watch.h
+++ b/src/libs/jobs/tail_watch.h
@@ -13,7 +13,7 @@
 namespace basilspur::jobs {
 
 struct TailSettings {
-  double place_limit = 0.7;     ///< Predicted share of a target, when placing.
+  double place_limit = 0.58;     ///< Predicted share of a target, when placing.
   double throttle_from = 0.85;  ///< Measured share of a target.
   double release_below = 0.6;   ///< Measured share of a target.
   Millis longest_over{1'500};   ///< Over its target, until all yield.
@@ -21,12 +21,6 @@
   Millis observe_interval{400};  ///< Between lessons from a VM.
 };
 
-/// A new pace for a best-effort run.
-struct PaceChange {
-  RunKey run;
-  int percent = 100;
-};
-
 /// Learns how best-effort images raise the tails of the tasks beside them, and
 /// decides where they may run and how fast. It answers load whose tails differ
 /// by pairs of images and change within seconds.
@@ -39,22 +33,20 @@
   /// Learns from a VM's report; its figures have been noted in `vm`.
   void Observe(Vm& vm, Millis now);
 
-  /// The greatest predicted share of a target on the VM, if a run of `image`
-  /// with `cpu_millis` came in addition. 0: nothing there has a target.
-  double Predict(const Vm& vm, const std::string& image,
-                 std::int64_t cpu_millis) const;
-
-  /// True if a predicted share of a target leaves enough.
-  bool Allows(double share) const { return share <= settings_.place_limit; }
+  /// The percent of its speed at which a run of `image` could come in, with
+  /// all tails below the limit for placing; 0: not at all.
+  int PaceFor(const Vm& vm, const std::string& image,
+              std::int64_t cpu_millis) const;
 
-  /// What to change at the VM now.
-  std::vector<PaceChange> Pace(Vm& vm, Millis now);
+  /// Decides the paces of the VM's best-effort runs anew.
+  void Pace(Vm& vm, Millis now);
 
  private:
   std::vector<TailLine> LinesOf(const Vm& vm, const std::string& image) const;
   double BaseOf(const std::string& image, std::int64_t target_ms) const;
-  std::vector<PaceChange> Throttle(Vm& vm, const RunOnVm& victim, Millis now);
-  std::vector<PaceChange> Release(Vm& vm, Millis now);
+  void Throttle(Vm& vm, const RunOnVm& victim, Millis now);
+  void Release(Vm& vm, Millis now);
+  void SetPace(Vm& vm, RunOnVm& run, int percent, Millis now);
 
   TailSettings settings_;
   interference::InterferenceModel model_;
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -23,8 +23,10 @@
   std::int64_t tail_target_ms = 0;
   std::string image = {};
   std::int64_t figure = 0;  ///< As in RunningRow.
-  int pace = 100;           ///< Of a best-effort run, percent.
-  Millis paced_at = {};     ///< When the pace was last ordered.
+  bool confirmed = false;   ///< The VM has said that it is there.
+  int pace = 100;           ///< Decided for a best-effort run, percent.
+  int ordered_pace = 100;   ///< As in the last order.
+  Millis paced_at = {};     ///< When the pace was last changed.
   Millis over_since = {};   ///< Since when the tail is over its target.
 };
 
