--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -89,6 +89,16 @@
   co_return false;
 }
 
+void CellOwner::RestoreVm(const KeyedRecord& record) {
+  const auto decoded = records::Decode<jobs::VmRecord>(record.value);
+  if (IsOk(decoded)) {
+    scheduler_.RestoreEnd(record.key.substr(1), ValueOf(decoded).last_end);
+    return;
+  }
+  kLog.Error("event=journal_record_unreadable key=" + record.key +
+             " error=\"" + ErrorOf(decoded).ToString() + "\"");
+}
+
 net::asio::awaitable<bool> CellOwner::ReadJournal() {
   for (;;) {
     const Result<NewestRecords> read = co_await store_.ReadNewest(journal_);
@@ -99,6 +109,7 @@
     }
     std::map<std::string, jobs::ProgressRecord> progress;
     for (const KeyedRecord& record : ValueOf(read).records) {
+      if (record.key.starts_with('v')) RestoreVm(record);
       if (!record.key.starts_with('p')) continue;
       auto decoded = records::Decode<jobs::ProgressRecord>(record.value);
       if (IsOk(decoded)) progress[record.key.substr(1)] = ValueOf(decoded);
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -71,6 +71,7 @@
  private:
   net::asio::awaitable<bool> BeginEpoch();
   net::asio::awaitable<bool> ReadJournal();
+  void RestoreVm(const KeyedRecord& record);
   net::asio::awaitable<void> RunJournal();
   net::asio::awaitable<bool> Append(std::vector<KeyedRecord> records);
   net::asio::awaitable<bool> Write(const jobs::JournalBatch& batch);
--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -20,7 +20,7 @@
   CellMember::Identity identity;
   ElectionSettings election;
   CellOwnerSettings owner;
-  int vms_per_cell = 16;
+  int vms_per_cell = 80;
   int most_cells = 24;
   Millis layout_wait{1'500};    ///< After the first VMs were listed.
   Millis tick{100};
--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -19,6 +19,15 @@
   return index < tasks.size() ? &tasks[index] : nullptr;
 }
 
+Task* Job::FindOrAdd(const TaskRef& task) {
+  const bool later = task.occurrence >= next_occurrence &&
+                     task.occurrence < record.spec.Occurrences();
+  if (later && !IsFinal(record.status)) {
+    while (next_occurrence <= task.occurrence) AddOccurrence(next_occurrence++);
+  }
+  return Find(task);
+}
+
 Task& Job::At(const TaskRef& task) { return *Find(task); }
 
 bool Job::DependenciesDone(const Occurrence& occurrence, int step) const {
@@ -75,15 +84,12 @@
 void Job::ApplyProgress(const ProgressRecord& progress) {
   finished_occurrences = progress.finished_occurrences;
   for (const TaskRecord& saved : progress.tasks) {
-    if (!FindOccurrence(saved.occurrence)) AddOccurrence(saved.occurrence);
-    if (saved.occurrence >= next_occurrence) {
-      next_occurrence = saved.occurrence + 1;
-    }
-    Task* task = Find({id, saved.occurrence, saved.step, saved.index});
+    Task* task = FindOrAdd({id, saved.occurrence, saved.step, saved.index});
     if (!task) continue;
     task->done = saved.done;
     task->failures = saved.failures;
     task->last_run = saved.last_run;
+    task->recorded_run = saved.last_run;
     task->checkpoint = saved.checkpoint;
     begun = true;
     if (saved.done) {
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -38,6 +38,7 @@
   bool done = false;
   int failures = 0;
   int last_run = 0;
+  int recorded_run = 0;  ///< The last one in the journal as it was read.
   std::string checkpoint;
   std::vector<Run> runs;
   std::vector<std::string> failed_on;  ///< VMs to avoid.
@@ -84,6 +85,8 @@
   Task* Find(const TaskRef& task);
   Occurrence* FindOccurrence(int number);
   bool DependenciesDone(const Occurrence& occurrence, int step) const;
+  /// As Find, but adds the task's occurrence if it has not become due here.
+  Task* FindOrAdd(const TaskRef& task);
   /// Adds an occurrence with all its tasks waiting.
   Occurrence& AddOccurrence(int number);
   ProgressRecord MakeProgress() const;
--- a/src/libs/jobs/job_progress.h
+++ b/src/libs/jobs/job_progress.h
@@ -51,6 +51,16 @@
   }
 };
 
+/// The journal's record of a VM.
+struct VmRecord {
+  std::int64_t last_end = 0;  ///< Ends up to this one are in the journal.
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.last_end);
+  }
+};
+
 /// The journal's record of how far a job is.
 struct ProgressRecord {
   std::vector<TaskRecord> tasks;
--- a/src/libs/jobs/placer.cc
+++ b/src/libs/jobs/placer.cc
@@ -1,6 +1,8 @@
 #include "jobs/placer.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace basilspur::jobs {
 
@@ -9,6 +11,7 @@
 static constexpr double kFailedThere = 400'000;
 static constexpr double kSqueezesBestEffort = 50'000;
 static constexpr double kFirstServing = 100'000;
+static constexpr double kOtherImageServing = 200'000;
 /// Of a VM without tails, which images that disturb need more.
 static constexpr double kTakesQuietVm = 10'000;
 /// For each percent that a best-effort run has to be slowed down.
@@ -38,6 +41,20 @@
   return Unused(vm) >= spec.need.cpu_millis;
 }
 
+/// Each best-effort image disturbs only some images. VMs whose tasks with
+/// targets are of one image are open to most of them, and VMs without such
+/// tasks to all.
+static double ServingCost(const Vm& vm, const StepSpec& spec) {
+  if (vm.Serving() == 0) return kFirstServing;
+  std::set<std::string_view> others;
+  for (const auto& [key, run] : vm.Runs()) {
+    if (run.tail_target_ms > 0 && run.image != spec.image) {
+      others.insert(run.image);
+    }
+  }
+  return kOtherImageServing * static_cast<double>(others.size());
+}
+
 double Placer::Cost(const Vm& vm, const StepSpec& spec,
                     const Task& task) const {
   double cost = 0;
@@ -53,8 +70,7 @@
     if (vm.Serving() == 0) cost += kTakesQuietVm;
     return cost - static_cast<double>(unused);
   }
-  // Packed, tasks with targets leave VMs to the images that disturb them.
-  if (spec.tail_target_ms > 0 && vm.Serving() == 0) cost += kFirstServing;
+  if (spec.tail_target_ms > 0) cost += ServingCost(vm, spec);
   if (unused < 0) cost += kSqueezesBestEffort - static_cast<double>(unused);
   return cost + static_cast<double>(vm.Free().cpu_millis);
 }
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -39,6 +39,10 @@
     return;
   }
   auto vm = std::make_unique<Vm>(listing, now + settings_.inherited_lease);
+  const auto restored = restored_ends_.find(listing.id);
+  if (restored != restored_ends_.end()) {
+    vm->last_end = vm->durable_end = restored->second;
+  }
   all_settled_ = false;
   vms_[listing.id] = std::move(vm);
 }
@@ -47,6 +51,7 @@
   Vm* vm = FindVm(id);
   if (!vm) return;
   vm->listed = false;
+  dropped_.push_back({"v" + id, {}});
   if (vm->Runs().empty() && vm->HasLapsed(now)) vms_.erase(id);
 }
 
@@ -88,8 +93,16 @@
   }
 }
 
+void Scheduler::RestoreEnd(const std::string& vm, std::int64_t end) {
+  restored_ends_[vm] = end;
+}
+
 void Scheduler::FinishRestore(int first_run, Millis now) {
   first_run_ = first_run;
+  for (const auto& [id, end] : restored_ends_) {
+    Vm* vm = FindVm(id);
+    if (vm) vm->last_end = vm->durable_end = end;
+  }
   CheckLapses(now);
 }
 
@@ -244,6 +257,9 @@
     job.record_dirty = job.progress_dirty = false;
   }
   dirty_.clear();
+  for (const auto& [vm, end] : new_ends_) {
+    batch.entries.push_back({"v" + vm, records::Encode(VmRecord{end})});
+  }
   batch.ends = std::move(new_ends_);
   new_ends_.clear();
   return batch;
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -63,6 +63,8 @@
   /// Takes a job in from the journal. Call for all before the first plan.
   void Restore(const std::string& id, const JobRecord& record,
                const std::optional<ProgressRecord>& progress, Millis now);
+  /// Takes in the newest end of a VM that the journal covers.
+  void RestoreEnd(const std::string& vm, std::int64_t end);
   /// Ends the restoring. `first_run`: the lowest number for new runs.
   void FinishRestore(int first_run, Millis now);
 
@@ -124,6 +126,7 @@
   void ForgetEndedJobs(std::int64_t wall_ms);
   void MarkProgress(Job& job);
 
+  bool IsUnrecorded(const Job* job, const Task* task, int run) const;
   void AdoptRunning(Vm& vm, const RunningRow& row, Millis now);
   void TakeEnd(Vm& vm, const EndedRow& row, bool lease_lapsed, Millis now);
   void ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent);
@@ -168,6 +171,7 @@
   std::set<std::string> dirty_;
   std::vector<JournalEntry> dropped_;
   std::map<std::string, std::int64_t> new_ends_;
+  std::map<std::string, std::int64_t> restored_ends_;
   /// Runs on VMs that no job wants, to be stopped: when last ordered.
   std::map<std::pair<std::string, RunKey>, Millis> strays_;
   bool all_settled_ = true;
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -8,7 +8,8 @@
   Vm* known = FindVm(vm);
   if (!known) return 0;
   const auto deadline = known->DeadlineFor(settings_.lease, now);
-  if (!deadline) return 0;
+  // The lease of a silent VM has to run out some day.
+  if (!deadline || !known->reachable) return 0;
   known->NoteDeadline(*deadline);
   return *deadline;
 }
@@ -48,20 +49,20 @@
   vm->settled = true;
 }
 
+bool Scheduler::IsUnrecorded(const Job* job, const Task* task,
+                             int run) const {
+  // An owner of an earlier term ordered it and could not record it any more.
+  return task && !task->done && job->old && !IsFinal(job->record.status) &&
+         run > task->recorded_run && run < first_run_;
+}
+
 void Scheduler::AdoptRunning(Vm& vm, const RunningRow& row, Millis now) {
   Job* job = FindJob(row.task.job);
-  Task* task = job ? job->Find(row.task) : nullptr;
-  if (job && !task && !IsFinal(job->record.status) &&
-      row.task.occurrence >= job->next_occurrence) {
-    job->AddOccurrence(row.task.occurrence);
-    job->next_occurrence = row.task.occurrence + 1;
-    task = job->Find(row.task);
-  }
+  Task* task = job ? job->FindOrAdd(row.task) : nullptr;
   Run* run = task ? task->FindRun(row.run) : nullptr;
   const RunKey key{row.task, row.run};
-  const bool unrecorded = task && !run && !task->done && task->runs.empty() &&
-                          row.run > task->last_run && job->old &&
-                          !IsFinal(job->record.status);
+  const bool unrecorded = !run && IsUnrecorded(job, task, row.run) &&
+                          row.run > task->last_run;
   if (unrecorded && !vm.lapsed) {
     run = &task->runs.emplace_back();
     run->number = row.run;
@@ -139,11 +140,10 @@
 void Scheduler::TakeEnd(Vm& vm, const EndedRow& row, bool lease_lapsed,
                         Millis now) {
   Job* job = FindJob(row.task.job);
-  Task* task = job ? job->Find(row.task) : nullptr;
+  Task* task = job ? job->FindOrAdd(row.task) : nullptr;
   const Run* run = task ? task->FindRun(row.run) : nullptr;
   const bool ours = run && run->vm == vm.listing.id;
-  const bool unrecorded = task && task->runs.empty() &&
-                          row.run > task->last_run && job->old;
+  const bool unrecorded = !run && IsUnrecorded(job, task, row.run);
   ReleaseRun(vm, row.task, row.run);
   if (!task || task->done || IsFinal(job->record.status)) return;
   if (!ours && !unrecorded) return;
