--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -122,7 +122,10 @@
 net::asio::awaitable<void> Node::Run() {
   for (;;) {
     co_await net::Sleep(settings_.tick);
-    for (const auto& member : members_) member->Tick(OwnedCells());
+    // An owner needs the configuration to judge what it finds.
+    if (catalog_.version >= 0) {
+      for (const auto& member : members_) member->Tick(OwnedCells());
+    }
     if (layout_.cells > 0 || layout_end_ < 0 || writing_layout_) continue;
     FollowDirectory();
     const bool settled =
--- a/src/libs/jobs/job_progress.h
+++ b/src/libs/jobs/job_progress.h
@@ -25,11 +25,13 @@
   std::int64_t accepted_wall_ms = 0;
   JobStatus status = JobStatus::kActive;
   std::int64_t ended_wall_ms = 0;
+  int attempts = 1;  ///< As configured last; the queue may go.
+  int priority = 0;
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.queue, self.service, self.spec, self.accepted_wall_ms,
-            self.status, self.ended_wall_ms);
+            self.status, self.ended_wall_ms, self.attempts, self.priority);
   }
 };
 
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -24,8 +24,13 @@
   catalog_ = catalog;
   for (auto& [key, job] : active_) {
     const QueueConfig* queue = catalog_.FindQueue(job->record.queue);
-    if (!queue || queue->service == job->record.service) continue;
-    job->record.service = queue->service;
+    if (!queue) continue;
+    JobRecord& record = job->record;
+    const bool same = queue->service == record.service &&
+                      queue->attempts == record.attempts;
+    if (same) continue;
+    record.service = queue->service;
+    record.attempts = queue->attempts;
     job->record_dirty = true;
     dirty_.insert(job->id);
   }
@@ -51,8 +56,7 @@
   Vm* vm = FindVm(id);
   if (!vm) return;
   vm->listed = false;
-  dropped_.push_back({"v" + id, {}});
-  if (vm->Runs().empty() && vm->HasLapsed(now)) vms_.erase(id);
+  CheckLapses(now);
 }
 
 void Scheduler::Restore(const std::string& id, const JobRecord& record,
@@ -107,9 +111,7 @@
 }
 
 void Scheduler::Activate(Job& job) {
-  const QueueConfig* queue = catalog_.FindQueue(job.record.queue);
-  const int priority = queue ? queue->priority : 0;
-  active_[{priority, {job.record.accepted_wall_ms, job.id}}] = &job;
+  active_[{job.record.priority, {job.record.accepted_wall_ms, job.id}}] = &job;
 }
 
 SubmitVerdict Scheduler::Submit(const std::string& id, const QueueConfig& queue,
@@ -123,6 +125,8 @@
   job->id = id;
   job->record.queue = queue.name;
   job->record.service = queue.service;
+  job->record.attempts = queue.attempts;
+  job->record.priority = queue.priority;
   job->record.spec = std::move(spec);
   job->record.accepted_wall_ms = wall_ms;
   job->record_dirty = true;
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -201,9 +201,7 @@
       failures += member.failures;
     }
   }
-  const QueueConfig* queue = catalog_.FindQueue(job.record.queue);
-  const int attempts = queue ? queue->attempts : 1;
-  if (failures >= attempts) EndJob(job, JobStatus::kFailed, wall_ms_);
+  if (failures >= job.record.attempts) EndJob(job, JobStatus::kFailed, wall_ms_);
 }
 
 void Scheduler::NoteVmFailure(Vm& vm, Millis now) {
@@ -248,6 +246,7 @@
     }
     all_settled_ = all_settled_ && vm.settled;
     const bool gone = !vm.listed && vm.Runs().empty() && vm.lapsed;
+    if (gone) dropped_.push_back({"v" + at->first, {}});
     at = gone ? vms_.erase(at) : std::next(at);
   }
 }
