Bound inherited leases by proof, and never release a start in doubt on a refusal

A new owner now asks its predecessor to stand down, trusts whole records after a handover, and finds unlisted VMs by their journaled address.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -9,13 +9,15 @@
 static constexpr LogCategory kLog("member");
 static constexpr char kOwnerKey[] = "owner";
 static constexpr Millis kDrainPatience(800);
+static constexpr Millis kDismissPatience(800);
+static constexpr Millis kDismissRetry(300);
 static constexpr int kVacateTries = 5;
 static constexpr Millis kVacateRetry(100);
 
 CellMember::CellMember(net::asio::io_context& context, Store& store,
                        const Clock& clock, Identity identity,
                        ElectionSettings settings, int cell, std::uint64_t seed,
-                       MakeOwner make_owner)
+                       MakeOwner make_owner, AskPeer ask_peer)
     : context_(context),
       store_(store),
       clock_(clock),
@@ -23,7 +25,8 @@
       cell_(cell),
       partition_{"keyed.owners", cell},
       election_(settings, identity_.node, identity_.incarnation, seed),
-      make_owner_(std::move(make_owner)) {}
+      make_owner_(std::move(make_owner)),
+      ask_peer_(std::move(ask_peer)) {}
 
 void CellMember::Start() {
   const auto self = shared_from_this();
@@ -60,8 +63,14 @@
   if (owner_ || !election_.Owns() || leaving_) return;
   owner_token_ = election_.Token();
   const auto self = shared_from_this();
+  const std::optional<OwnerRecord>& predecessor = election_.Predecessor();
+  CellOwner::Ownership ownership;
+  ownership.cell = cell_;
+  ownership.token = election_.Token();
+  ownership.term = election_.Term();
+  ownership.handed_over = !predecessor;
   owner_ = make_owner_(
-      {cell_, election_.Token(), election_.Term()},
+      ownership,
       [self] { return self->election_.IsFresh(self->clock_.Monotonic()); },
       [self, token = owner_token_] {
         if (self->owner_token_ != token) return;
@@ -69,6 +78,36 @@
         self->DropOwner();
       });
   net::asio::co_spawn(context_, owner_->TakeOver(), [](auto, bool) {});
+  if (!predecessor) return;
+  net::asio::co_spawn(context_, DismissPredecessor(*predecessor, owner_token_),
+                      net::asio::detached);
+}
+
+net::asio::awaitable<void> CellMember::DismissPredecessor(
+    OwnerRecord predecessor, std::int64_t token) {
+  const auto self = shared_from_this();
+  // A process of this node that lives no more needs no telling.
+  bool gone = predecessor.node == identity_.node;
+  while (!gone) {
+    JobRequest request;
+    request.kind = RequestKind::kStandDown;
+    request.cell = cell_;
+    request.token = token;
+    const JobReply reply = co_await ask_peer_(predecessor.address, request,
+                                              kDismissPatience);
+    if (owner_token_ != token) co_return;
+    gone = reply.kind == ReplyKind::kStoodDown;
+    if (!gone) co_await net::Sleep(kDismissRetry);
+  }
+  if (owner_token_ == token && owner_) owner_->OnPredecessorGone();
+}
+
+void CellMember::OnStandDown(std::int64_t token) {
+  if (!election_.Owns() || election_.Token() >= token) return;
+  kLog.Info("event=told_to_stand_down cell=" + std::to_string(cell_) +
+            " token=" + std::to_string(token));
+  DropOwner();
+  election_.StepDown();
 }
 
 void CellMember::DropOwner() {
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -25,6 +25,9 @@
   };
   /// Makes the owner of an ownership that has begun, with the catalog and the
   /// VMs known.
+  /// Sends a request to the entry at an address.
+  using AskPeer = std::function<net::asio::awaitable<JobReply>(
+      std::string address, JobRequest request, Millis patience)>;
   using MakeOwner = std::function<std::shared_ptr<CellOwner>(
       CellOwner::Ownership ownership, std::function<bool()> is_fresh,
       std::function<void()> on_deposed)>;
@@ -32,7 +35,7 @@
   /// Precondition: the references outlive the object.
   CellMember(net::asio::io_context& context, Store& store, const Clock& clock,
              Identity identity, ElectionSettings settings, int cell,
-             std::uint64_t seed, MakeOwner make_owner);
+             std::uint64_t seed, MakeOwner make_owner, AskPeer ask_peer);
 
   void Start();
   /// Looks at what time alone changes. `owned`: cells this node owns.
@@ -44,6 +47,8 @@
   const std::optional<OwnerRecord>& KnownOwner() const {
     return election_.Owner();
   }
+  /// A peer owns the cell by `token`: ends an older ownership of this node.
+  void OnStandDown(std::int64_t token);
   void OnOwnerDead(const std::string& incarnation);
   /// Hands the cell over, if this node owns it. It does not run again.
   net::asio::awaitable<void> Leave();
@@ -54,6 +59,8 @@
   net::asio::awaitable<void> AppendRecord(OwnerRecord record);
   net::asio::awaitable<void> LookAgain(Millis sent);
   void DropOwner();
+  net::asio::awaitable<void> DismissPredecessor(OwnerRecord predecessor,
+                                                std::int64_t token);
 
   net::asio::io_context& context_;
   Store& store_;
@@ -63,6 +70,7 @@
   Partition partition_;
   Election election_;
   MakeOwner make_owner_;
+  AskPeer ask_peer_;
   std::shared_ptr<TopicWatcher> watcher_;
   std::shared_ptr<CellOwner> owner_;
   std::int64_t owner_token_ = -1;
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -60,6 +60,8 @@
   const int first_run =
       static_cast<int>((ownership_.term - 1) * kRunsPerTerm + 1);
   scheduler_.FinishRestore(first_run, Now());
+  if (ownership_.handed_over) scheduler_.TrustRecords();
+  if (ownership_.handed_over) OnPredecessorGone();
   ready_ = true;
   net::asio::co_spawn(context_, RunJournal(), net::asio::detached);
   for (const jobs::VmListing& listing : scheduler_.VmsToRenew()) {
@@ -92,7 +94,7 @@
 void CellOwner::RestoreVm(const KeyedRecord& record) {
   const auto decoded = records::Decode<jobs::VmRecord>(record.value);
   if (IsOk(decoded)) {
-    scheduler_.RestoreEnd(record.key.substr(1), ValueOf(decoded).last_end);
+    scheduler_.RestoreVm(record.key.substr(1), ValueOf(decoded), Now());
     return;
   }
   kLog.Error("event=journal_record_unreadable key=" + record.key +
@@ -146,6 +148,11 @@
   net::asio::co_spawn(context_, DriveVm(listing.id), net::asio::detached);
 }
 
+void CellOwner::OnPredecessorGone() {
+  scheduler_.EndInheritedLeases(Now());
+  kLog.Info("event=predecessor_gone" + CellField(ownership_));
+}
+
 void CellOwner::OnVmGone(const std::string& id) {
   scheduler_.UnlistVm(id, Now());
 }
@@ -198,6 +205,12 @@
   if (!vm || stopped_) co_return;
   const Millis sent = Now();
   const std::int64_t deadline = scheduler_.NextDeadline(order.vm, sent);
+  if (order.kind == jobs::OrderKind::kStart && deadline == 0) {
+    // The VM has fallen silent since the decision.
+    scheduler_.OnOrderOutcome(order, jobs::OrderOutcome::kRefused, 0, sent,
+                              sent);
+    co_return;
+  }
   const OrderAnswer answer =
       co_await vm_client_.Send(*vm, order, ownership_.token, deadline);
   if (stopped_) co_return;
@@ -354,6 +367,8 @@
       co_return co_await Cancel(request);
     case RequestKind::kStatus:
       co_return ShowStatus(request.job);
+    case RequestKind::kStandDown:
+      break;
     case RequestKind::kCount:
       if (!is_fresh_()) co_return JobReply{ReplyKind::kNotOwner};
       co_return JobReply{ReplyKind::kCount, scheduler_.Pending(request.queue)};
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -39,6 +39,7 @@
     int cell = 0;
     std::int64_t token = 0;
     std::int64_t term = 1;
+    bool handed_over = false;  ///< The owner before gave the cell up itself.
   };
 
   /// `is_fresh` tells whether this node may speak for the cell's unknown jobs;
@@ -56,6 +57,8 @@
   void OnCatalog(const jobs::Catalog& catalog);
   void OnVmListed(const jobs::VmListing& listing);
   void OnVmGone(const std::string& id);
+  /// The owner before does not act any more.
+  void OnPredecessorGone();
   /// Looks at what time alone changes. Call every 100 ms or so.
   void Tick();
 
--- a/src/libs/cell/election.cc
+++ b/src/libs/cell/election.cc
@@ -28,10 +28,11 @@
     if (token == token_) token_ = -1;
     return;
   }
+  if (!owner_ || owner_->token != token) predecessor_ = owner_;
   owner_ = record;
   owner_->token = token;
   if (token < token_) return;
-  if (!IsMine(record) || given_up_) {
+  if (!IsMine(record) || token <= abandoned_token_) {
     token_ = -1;
     return;
   }
@@ -57,8 +58,8 @@
 }
 
 void Election::StepDown() {
+  abandoned_token_ = std::max(abandoned_token_, token_);
   token_ = -1;
-  given_up_ = true;
 }
 
 void Election::Draw(int owned, Millis now) {
@@ -68,7 +69,7 @@
 }
 
 bool Election::ShouldRun(int owned, Millis now) {
-  if (!read_ || Owns() || given_up_) return false;
+  if (!read_ || Owns()) return false;
   if (owner_ && now - seen_ < settings_.silence) {
     run_at_.reset();
     return false;
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -57,6 +57,11 @@
   std::int64_t End() const { return end_; }
   /// The owner as last read; empty if there is none.
   const std::optional<OwnerRecord>& Owner() const { return owner_; }
+  /// The owner before the present one; empty if there was none, or if it gave
+  /// the cell up.
+  const std::optional<OwnerRecord>& Predecessor() const {
+    return predecessor_;
+  }
   OwnerRecord BeginRecord(const std::string& address) const;
   OwnerRecord RenewalRecord(const std::string& address) const;
 
@@ -69,6 +74,7 @@
   std::string incarnation_;
   Random random_;
   std::optional<OwnerRecord> owner_;
+  std::optional<OwnerRecord> predecessor_;
   bool read_ = false;       ///< The partition has been read to its end.
   std::int64_t end_ = 0;
   Millis seen_;             ///< When the owner last showed itself.
@@ -76,7 +82,7 @@
   std::int64_t token_ = -1;
   std::int64_t term_ = 0;
   Millis renewed_;          ///< When the last renewal in force was sent.
-  bool given_up_ = false;
+  std::int64_t abandoned_token_ = -1;  ///< Given up without a record.
 };
 
 }  // namespace basilspur::cell
--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -11,6 +11,8 @@
 static constexpr LogCategory kLog("node");
 static constexpr char kLayoutTopic[] = "keyed.layout";
 static constexpr char kLayoutKey[] = "layout";
+/// In place of the incarnation where no process listens.
+static constexpr char kNoProcess[] = "-";
 static constexpr char kPeerPath[] = "/jobs";
 
 Node::Node(net::asio::io_context& context, Store& store, VmClient& vms,
@@ -64,6 +66,9 @@
                std::function<void()> on_deposed) {
           return MakeOwner(ownership, std::move(is_fresh),
                            std::move(on_deposed));
+        },
+        [this](std::string address, JobRequest request, Millis patience) {
+          return AskPeer(std::move(address), std::move(request), patience);
         }));
     members_.back()->Start();
   }
@@ -152,9 +157,12 @@
 
 net::asio::awaitable<JobReply> Node::HandlePeer(JobRequest request) {
   JobReply reply;
-  if (request.cell >= 0 &&
-      request.cell < static_cast<int>(members_.size()) &&
-      members_[request.cell]->Owner()) {
+  const bool known = request.cell >= 0 &&
+                     request.cell < static_cast<int>(members_.size());
+  if (request.kind == RequestKind::kStandDown) {
+    if (known) members_[request.cell]->OnStandDown(request.token);
+    reply.kind = ReplyKind::kStoodDown;
+  } else if (known && members_[request.cell]->Owner()) {
     reply = co_await members_[request.cell]->Owner()->Handle(
         std::move(request));
   }
@@ -219,31 +227,42 @@
   if (!owner || owner->incarnation == settings_.identity.incarnation) {
     co_return JobReply{ReplyKind::kNotOwner};
   }
+  JobReply reply =
+      co_await AskPeer(owner->address, std::move(request), patience);
+  // Another process replied, or nothing listens there: the owner is gone.
+  if (!reply.incarnation.empty() &&
+      reply.incarnation != owner->incarnation) {
+    member->OnOwnerDead(owner->incarnation);
+  }
+  co_return reply;
+}
+
+net::asio::awaitable<JobReply> Node::AskPeer(std::string address,
+                                             JobRequest request,
+                                             Millis patience) {
   net::HttpRequest message;
   message.method = "POST";
   message.target = kPeerPath;
   const records::Bytes body = records::Encode(request);
   message.body.assign(body.begin(), body.end());
   const Result<net::HttpResponse> answer =
-      co_await peers_.Call(owner->address, std::move(message), patience);
+      co_await peers_.Call(std::move(address), std::move(message), patience);
+  JobReply reply;
   if (!IsOk(answer)) {
     const Error& error = ErrorOf(answer);
-    if (error.code == ErrorCode::kRefused) {
-      member->OnOwnerDead(owner->incarnation);
-    }
-    const bool sent = error.step != "connect";
-    co_return JobReply{sent ? ReplyKind::kInDoubt : ReplyKind::kNotOwner};
+    if (error.code == ErrorCode::kRefused) reply.incarnation = kNoProcess;
+    if (error.step != "connect") reply.kind = ReplyKind::kInDoubt;
+    co_return reply;
   }
   const std::string& text = ValueOf(answer).body;
-  const auto reply = records::Decode<JobReply>(
+  const auto decoded = records::Decode<JobReply>(
       std::span(reinterpret_cast<const std::uint8_t*>(text.data()),
                 text.size()));
-  if (!IsOk(reply)) co_return JobReply{ReplyKind::kInDoubt};
-  if (ValueOf(reply).kind == ReplyKind::kNotOwner &&
-      ValueOf(reply).incarnation != owner->incarnation) {
-    member->OnOwnerDead(owner->incarnation);
-  }
-  co_return ValueOf(reply);
+  if (IsOk(decoded)) co_return ValueOf(decoded);
+  kLog.Error("event=peer_reply_unreadable error=\"" +
+             ErrorOf(decoded).ToString() + "\"");
+  reply.kind = ReplyKind::kInDoubt;
+  co_return reply;
 }
 
 net::asio::awaitable<void> Node::Leave() {
--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -57,6 +57,8 @@
   net::asio::awaitable<void> Run();
   net::asio::awaitable<JobReply> Ask(JobRequest request);
   net::asio::awaitable<JobReply> AskOnce(JobRequest request, Millis patience);
+  net::asio::awaitable<JobReply> AskPeer(std::string address,
+                                         JobRequest request, Millis patience);
   net::asio::awaitable<JobReply> CountAll(JobRequest request);
   net::asio::awaitable<void> WriteLayout();
   void OnLayout(const KeyedRecord& record);
--- a/src/libs/cell/peer_messages.h
+++ b/src/libs/cell/peer_messages.h
@@ -8,7 +8,13 @@
 
 namespace basilspur::cell {
 
-enum class RequestKind { kSubmit, kStatus, kCancel, kCount };
+enum class RequestKind {
+  kSubmit,
+  kStatus,
+  kCancel,
+  kCount,
+  kStandDown,  ///< Between entries: another owns the cell now.
+};
 
 /// What a caller asks of a queue, as entries pass it to the cell's owner.
 struct JobRequest {
@@ -18,11 +24,12 @@
   std::string job;
   jobs::JobSpec spec;            ///< kSubmit.
   std::int64_t patience_ms = 0;  ///< For the answer.
+  std::int64_t token = -1;       ///< kStandDown: of the new ownership.
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.kind, self.cell, self.queue, self.job, self.spec,
-            self.patience_ms);
+            self.patience_ms, self.token);
   }
 };
 
@@ -39,6 +46,7 @@
   kBusy,          ///< Not accepted: too many jobs.
   kUnavailable,   ///< Not accepted: the store can't be reached.
   kInDoubt,       ///< It may have been stored or not.
+  kStoodDown,     ///< The replying process does not own the cell.
   kNotOwner,      ///< Ask the owner; nothing was done.
 };
 
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -30,6 +30,7 @@
   Millis advanced;         ///< When its progress last rose.
   int starts_sent = 0;
   int percent = 0;
+  bool in_doubt = false;  ///< A start went unanswered; it may come late.
   bool stop_confirmed = false;
 };
 
--- a/src/libs/jobs/job_progress.h
+++ b/src/libs/jobs/job_progress.h
@@ -56,10 +56,11 @@
 /// The journal's record of a VM.
 struct VmRecord {
   std::int64_t last_end = 0;  ///< Ends up to this one are in the journal.
+  std::string address = {};
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
-    archive(self.last_end);
+    archive(self.last_end, self.address);
   }
 };
 
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -44,10 +44,6 @@
     return;
   }
   auto vm = std::make_unique<Vm>(listing, now + settings_.inherited_lease);
-  const auto restored = restored_ends_.find(listing.id);
-  if (restored != restored_ends_.end()) {
-    vm->last_end = vm->durable_end = restored->second;
-  }
   all_settled_ = false;
   vms_[listing.id] = std::move(vm);
 }
@@ -81,12 +77,7 @@
       std::vector<Task>& tasks = occurrence.steps[step].tasks;
       for (std::size_t index = 0; index < tasks.size(); ++index) {
         for (const Run& run : tasks[index].runs) {
-          if (!FindVm(run.vm)) {
-            VmListing gone;
-            gone.id = run.vm;
-            ListVm(gone, now);
-            FindVm(run.vm)->listed = false;
-          }
+          if (!FindVm(run.vm)) RestoreVm(run.vm, {}, now);
           FindVm(run.vm)->Add({{id, occurrence.number, static_cast<int>(step),
                                 static_cast<int>(index)},
                                run.number},
@@ -97,19 +88,29 @@
   }
 }
 
-void Scheduler::RestoreEnd(const std::string& vm, std::int64_t end) {
-  restored_ends_[vm] = end;
+void Scheduler::RestoreVm(const std::string& id, const VmRecord& record,
+                          Millis now) {
+  if (!FindVm(id)) {
+    VmListing unlisted;
+    unlisted.id = id;
+    unlisted.address = record.address;
+    ListVm(unlisted, now);
+    FindVm(id)->listed = false;
+  }
+  Vm& vm = *FindVm(id);
+  vm.last_end = vm.durable_end = record.last_end;
 }
 
 void Scheduler::FinishRestore(int first_run, Millis now) {
   first_run_ = first_run;
-  for (const auto& [id, end] : restored_ends_) {
-    Vm* vm = FindVm(id);
-    if (vm) vm->last_end = vm->durable_end = end;
-  }
   CheckLapses(now);
 }
 
+void Scheduler::EndInheritedLeases(Millis now) {
+  const Millis lapse = now + settings_.lease + settings_.lease_drift;
+  for (auto& [id, vm] : vms_) vm->BoundInheritedLease(lapse);
+}
+
 void Scheduler::Activate(Job& job) {
   active_[{job.record.priority, {job.record.accepted_wall_ms, job.id}}] = &job;
 }
@@ -262,7 +263,9 @@
   }
   dirty_.clear();
   for (const auto& [vm, end] : new_ends_) {
-    batch.entries.push_back({"v" + vm, records::Encode(VmRecord{end})});
+    const std::string address = FindVm(vm) ? FindVm(vm)->listing.address : "";
+    batch.entries.push_back(
+        {"v" + vm, records::Encode(VmRecord{end, address})});
   }
   batch.ends = std::move(new_ends_);
   new_ends_.clear();
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -63,10 +63,14 @@
   /// Takes a job in from the journal. Call for all before the first plan.
   void Restore(const std::string& id, const JobRecord& record,
                const std::optional<ProgressRecord>& progress, Millis now);
-  /// Takes in the newest end of a VM that the journal covers.
-  void RestoreEnd(const std::string& vm, std::int64_t end);
+  /// Takes in what the journal has of a VM, listed or not.
+  void RestoreVm(const std::string& vm, const VmRecord& record, Millis now);
   /// Ends the restoring. `first_run`: the lowest number for new runs.
   void FinishRestore(int first_run, Millis now);
+  /// Earlier owners renew no leases any more, as of now.
+  void EndInheritedLeases(Millis now);
+  /// All that earlier owners ordered is in the journal.
+  void TrustRecords() { records_whole_ = true; }
 
   /// kNew and kKnown jobs are accepted once IsAccepted is true.
   SubmitVerdict Submit(const std::string& id, const QueueConfig& queue,
@@ -171,10 +175,10 @@
   std::set<std::string> dirty_;
   std::vector<JournalEntry> dropped_;
   std::map<std::string, std::int64_t> new_ends_;
-  std::map<std::string, std::int64_t> restored_ends_;
   /// Runs on VMs that no job wants, to be stopped: when last ordered.
   std::map<std::pair<std::string, RunKey>, Millis> strays_;
   bool all_settled_ = true;
+  bool records_whole_ = false;
   Millis checked_;  ///< When retries, stalls and paces were last looked at.
   int first_run_ = 1;
   std::int64_t wall_ms_ = 0;
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -30,7 +30,7 @@
 bool Scheduler::MayStart(const Job& job) const {
   // Runs of earlier terms that no record names are found at the VMs, so a job
   // of that time starts nothing until each VM has answered or lapsed.
-  return job.accepted && (!job.old || all_settled_);
+  return job.accepted && (!job.old || records_whole_ || all_settled_);
 }
 
 std::vector<Vm*> Scheduler::AllVms() {
@@ -157,6 +157,9 @@
   orders.back().checkpoint = task.checkpoint;
   job.begun = true;
   MarkProgress(job);
+  // A later owner finds the VM by this, even if the list has lost it.
+  if (!vm.recorded) new_ends_.try_emplace(vm.listing.id, vm.last_end);
+  vm.recorded = true;
 }
 
 void Scheduler::OrderStop(const TaskRef& ref, Run& run, Millis now,
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -286,6 +286,7 @@
       if (charge) charge->confirmed = true;
       return;
     case OrderOutcome::kUnknown:
+      run->in_doubt = true;
       if (run->phase == RunPhase::kOrdered) run->phase = RunPhase::kInDoubt;
       return;
     case OrderOutcome::kSuperseded:
@@ -296,7 +297,7 @@
     default:
       break;
   }
-  if (run->starts_sent > 1 && run->phase == RunPhase::kInDoubt) return;
+  if (run->in_doubt) return;
   ReleaseRun(*vm, order.task, order.run);
   task->not_before = now + settings_.start_retry;
   if (outcome == OrderOutcome::kRefused) {
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -9,6 +9,7 @@
 /// Limits and times of a scheduler.
 struct SchedulerSettings {
   Millis lease{5'000};           ///< Of all runs of a VM; renewals extend it.
+  Millis lease_drift{250};       ///< By which a VM may count a lease longer.
   Millis inherited_lease{17'500};  ///< Longest that an earlier owner's may last.
   Millis start_retry{400};       ///< Between sendings of one start.
   int starts_before_stop = 3;    ///< Sendings without an answer before a stop.
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -25,6 +25,10 @@
   return clock_ms_ + (now - clock_at_ + lease).count;
 }
 
+void Vm::BoundInheritedLease(Millis lapse) {
+  if (lapse < inherited_lapse_) inherited_lapse_ = lapse;
+}
+
 void Vm::NoteDeadline(std::int64_t deadline_ms) {
   max_deadline_ms_ = std::max(max_deadline_ms_, deadline_ms);
 }
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -53,6 +53,8 @@
   /// The deadline on the VM's clock for a lease that begins now.
   /// Empty before the first report.
   std::optional<std::int64_t> DeadlineFor(Millis lease, Millis now) const;
+  /// No lease of an earlier owner ends later than this.
+  void BoundInheritedLease(Millis lapse);
   /// Notes that an order or renewal with this deadline is on its way.
   void NoteDeadline(std::int64_t deadline_ms);
   /// Notes the VM's clock in an answer to a call of `sent`, which came at
@@ -76,6 +78,7 @@
   VmListing listing;
   bool listed = true;
   bool reachable = false;
+  bool recorded = false;  ///< The journal names it, or is about to.
   bool settled = false;   ///< Has answered this owner, or has lapsed.
   bool lapsed = false;    ///< Its runs were given up.
   std::int64_t last_end = 0;      ///< The newest end that was taken in.
