--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -63,12 +63,11 @@
   if (owner_ || !election_.Owns() || leaving_) return;
   owner_token_ = election_.Token();
   const auto self = shared_from_this();
-  const std::optional<OwnerRecord>& predecessor = election_.Predecessor();
   CellOwner::Ownership ownership;
   ownership.cell = cell_;
   ownership.token = election_.Token();
   ownership.term = election_.Term();
-  ownership.handed_over = !predecessor;
+  ownership.handed_over = election_.WasHandedOver();
   owner_ = make_owner_(
       ownership,
       [self] { return self->election_.IsFresh(self->clock_.Monotonic()); },
@@ -78,28 +77,31 @@
         self->DropOwner();
       });
   net::asio::co_spawn(context_, owner_->TakeOver(), [](auto, bool) {});
-  if (!predecessor) return;
-  net::asio::co_spawn(context_, DismissPredecessor(*predecessor, owner_token_),
-                      net::asio::detached);
+  for (const FormerOwner& former : election_.Former()) {
+    net::asio::co_spawn(context_, Dismiss(former, owner_token_),
+                        net::asio::detached);
+  }
 }
 
-net::asio::awaitable<void> CellMember::DismissPredecessor(
-    OwnerRecord predecessor, std::int64_t token) {
+net::asio::awaitable<void> CellMember::Dismiss(FormerOwner former,
+                                               std::int64_t token) {
   const auto self = shared_from_this();
   // A process of this node that lives no more needs no telling.
-  bool gone = predecessor.node == identity_.node;
+  bool gone = former.node == identity_.node;
   while (!gone) {
     JobRequest request;
     request.kind = RequestKind::kStandDown;
     request.cell = cell_;
     request.token = token;
-    const JobReply reply = co_await ask_peer_(predecessor.address, request,
+    const JobReply reply = co_await ask_peer_(former.address, request,
                                               kDismissPatience);
     if (owner_token_ != token) co_return;
     gone = reply.kind == ReplyKind::kStoodDown;
     if (!gone) co_await net::Sleep(kDismissRetry);
   }
-  if (owner_token_ == token && owner_) owner_->OnPredecessorGone();
+  if (owner_token_ != token || !owner_) co_return;
+  election_.OnFormerGone(former);
+  if (election_.Former().empty()) owner_->OnPredecessorsGone();
 }
 
 void CellMember::OnStandDown(std::int64_t token) {
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -59,8 +59,7 @@
   net::asio::awaitable<void> AppendRecord(OwnerRecord record);
   net::asio::awaitable<void> LookAgain(Millis sent);
   void DropOwner();
-  net::asio::awaitable<void> DismissPredecessor(OwnerRecord predecessor,
-                                                std::int64_t token);
+  net::asio::awaitable<void> Dismiss(FormerOwner former, std::int64_t token);
 
   net::asio::io_context& context_;
   Store& store_;
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -61,7 +61,7 @@
       static_cast<int>((ownership_.term - 1) * kRunsPerTerm + 1);
   scheduler_.FinishRestore(first_run, Now());
   if (ownership_.handed_over) scheduler_.TrustRecords();
-  if (ownership_.handed_over) OnPredecessorGone();
+  if (ownership_.handed_over) OnPredecessorsGone();
   ready_ = true;
   net::asio::co_spawn(context_, RunJournal(), net::asio::detached);
   for (const jobs::VmListing& listing : scheduler_.VmsToRenew()) {
@@ -148,9 +148,9 @@
   net::asio::co_spawn(context_, DriveVm(listing.id), net::asio::detached);
 }
 
-void CellOwner::OnPredecessorGone() {
+void CellOwner::OnPredecessorsGone() {
   scheduler_.EndInheritedLeases(Now());
-  kLog.Info("event=predecessor_gone" + CellField(ownership_));
+  kLog.Info("event=predecessors_gone" + CellField(ownership_));
 }
 
 void CellOwner::OnVmGone(const std::string& id) {
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -57,8 +57,8 @@
   void OnCatalog(const jobs::Catalog& catalog);
   void OnVmListed(const jobs::VmListing& listing);
   void OnVmGone(const std::string& id);
-  /// The owner before does not act any more.
-  void OnPredecessorGone();
+  /// No owner before acts any more.
+  void OnPredecessorsGone();
   /// Looks at what time alone changes. Call every 100 ms or so.
   void Tick();
 
--- a/src/libs/cell/election.cc
+++ b/src/libs/cell/election.cc
@@ -25,10 +25,13 @@
   seen_ = now;
   if (record.vacant) {
     owner_.reset();
+    former_ = record.former;
+    handed_over_ = true;
     if (token == token_) token_ = -1;
     return;
   }
-  if (!owner_ || owner_->token != token) predecessor_ = owner_;
+  if (token != token_) former_ = record.former;
+  if (token == offset) handed_over_ = !owner_ && former_.empty();
   owner_ = record;
   owner_->token = token;
   if (token < token_) return;
@@ -92,12 +95,21 @@
   return Owns() && now - renewed_ > settings_.orphaned;
 }
 
+void Election::OnFormerGone(const FormerOwner& gone) {
+  std::erase(former_, gone);
+}
+
 OwnerRecord Election::BeginRecord(const std::string& address) const {
   OwnerRecord record;
   record.node = node_;
   record.incarnation = incarnation_;
   record.address = address;
   record.term = term_ + 1;
+  record.former = former_;
+  if (owner_) {
+    record.former.push_back(
+        {owner_->node, owner_->incarnation, owner_->address});
+  }
   return record;
 }
 
@@ -105,6 +117,7 @@
   OwnerRecord record = BeginRecord(address);
   record.token = token_;
   record.term = term_;
+  record.former = former_;
   return record;
 }
 
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/random.h"
@@ -57,11 +58,12 @@
   std::int64_t End() const { return end_; }
   /// The owner as last read; empty if there is none.
   const std::optional<OwnerRecord>& Owner() const { return owner_; }
-  /// The owner before the present one; empty if there was none, or if it gave
-  /// the cell up.
-  const std::optional<OwnerRecord>& Predecessor() const {
-    return predecessor_;
-  }
+  /// Owners before this node's ownership that may still act.
+  const std::vector<FormerOwner>& Former() const { return former_; }
+  /// The former owner acts no more.
+  void OnFormerGone(const FormerOwner& gone);
+  /// True if the owner before handed the cell over with all its records.
+  bool WasHandedOver() const { return handed_over_; }
   OwnerRecord BeginRecord(const std::string& address) const;
   OwnerRecord RenewalRecord(const std::string& address) const;
 
@@ -74,7 +76,8 @@
   std::string incarnation_;
   Random random_;
   std::optional<OwnerRecord> owner_;
-  std::optional<OwnerRecord> predecessor_;
+  std::vector<FormerOwner> former_;
+  bool handed_over_ = false;
   bool read_ = false;       ///< The partition has been read to its end.
   std::int64_t end_ = 0;
   Millis seen_;             ///< When the owner last showed itself.
--- a/src/libs/cell/owner_record.h
+++ b/src/libs/cell/owner_record.h
@@ -3,9 +3,24 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace basilspur::cell {
 
+/// An owner before, that may still act because nobody could tell it.
+struct FormerOwner {
+  std::string node;
+  std::string incarnation;
+  std::string address;
+
+  bool operator==(const FormerOwner& other) const = default;
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.node, self.incarnation, self.address);
+  }
+};
+
 /// Says who owns a cell. Written on a condition, so that records follow one
 /// another without gaps; the offset of the record that began an ownership is
 /// its fencing token.
@@ -18,11 +33,12 @@
   std::int64_t token = -1;  ///< -1 in the record that begins an ownership.
   std::int64_t term = 0;    ///< Counts ownerships from 1.
   bool vacant = false;      ///< The owner has given the cell up.
+  std::vector<FormerOwner> former;  ///< Not known to be gone.
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.node, self.incarnation, self.address, self.token, self.term,
-            self.vacant);
+            self.vacant, self.former);
   }
 };
 
--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -22,7 +22,7 @@
 Task* Job::FindOrAdd(const TaskRef& task) {
   const bool later = task.occurrence >= next_occurrence &&
                      task.occurrence < record.spec.Occurrences();
-  if (later && !IsFinal(record.status)) {
+  if (later && !record.spec.steps.empty()) {
     while (next_occurrence <= task.occurrence) AddOccurrence(next_occurrence++);
   }
   return Find(task);
@@ -64,6 +64,17 @@
   return record;
 }
 
+bool Job::HasRuns() const {
+  for (const Occurrence& occurrence : occurrences) {
+    for (const Step& step : occurrence.steps) {
+      for (const Task& task : step.tasks) {
+        if (!task.runs.empty()) return true;
+      }
+    }
+  }
+  return false;
+}
+
 ProgressRecord Job::MakeProgress() const {
   ProgressRecord progress;
   progress.finished_occurrences = finished_occurrences;
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -32,6 +32,7 @@
   int percent = 0;
   bool in_doubt = false;  ///< A start went unanswered; it may come late.
   bool stop_confirmed = false;
+  bool missing = false;  ///< It has left the VM's list without an end.
 };
 
 /// A task and its runs. Thread safety: as its scheduler.
@@ -90,6 +91,7 @@
   Task* FindOrAdd(const TaskRef& task);
   /// Adds an occurrence with all its tasks waiting.
   Occurrence& AddOccurrence(int number);
+  bool HasRuns() const;
   ProgressRecord MakeProgress() const;
   void ApplyProgress(const ProgressRecord& progress);
 };
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -67,10 +67,13 @@
   job.shown = record.status;
   job.accepted_at = now;
   jobs_[id] = std::move(owned);
-  if (IsFinal(record.status)) return;
   job.has_progress = progress.has_value();
   if (progress) job.ApplyProgress(*progress);
-  Activate(job);
+  if (!IsFinal(record.status)) {
+    Activate(job);
+  } else if (job.HasRuns()) {
+    ending_.insert(id);
+  }
   for (Occurrence& occurrence : job.occurrences) {
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
       const StepSpec& spec = job.record.spec.steps[step];
@@ -220,7 +223,7 @@
 }
 
 void Scheduler::MarkProgress(Job& job) {
-  if (IsFinal(job.record.status)) return;
+  if (IsFinal(job.record.status) && !ending_.contains(job.id)) return;
   job.progress_dirty = true;
   dirty_.insert(job.id);
 }
@@ -229,7 +232,6 @@
   job.record.status = status;
   job.record.ended_wall_ms = wall_ms;
   job.record_dirty = true;
-  job.progress_dirty = false;
   dirty_.insert(job.id);
   ending_.insert(job.id);
   std::erase_if(active_, [&](const auto& item) { return item.second == &job; });
@@ -247,18 +249,19 @@
   for (const std::string& id : dirty_) {
     Job& job = *FindJob(id);
     batch.jobs[id] = job.record.status;
-    const bool final = IsFinal(job.record.status);
+    // The spec and the progress stay until all runs have been stopped.
+    const bool over = IsFinal(job.record.status) && !job.HasRuns();
     if (job.record_dirty) {
       JobRecord record = job.record;
-      if (final) record.spec = {};
+      if (over) record.spec = {};
       batch.entries.push_back({"j" + id, records::Encode(record)});
     }
-    if (final && job.has_progress) batch.entries.push_back({"p" + id, {}});
-    if (job.progress_dirty) {
+    if (over && job.has_progress) batch.entries.push_back({"p" + id, {}});
+    if (over) job.has_progress = false;
+    if (!over && job.progress_dirty) {
       batch.entries.push_back({"p" + id, records::Encode(job.MakeProgress())});
       job.has_progress = true;
     }
-    if (final) job.has_progress = false;
     job.record_dirty = job.progress_dirty = false;
   }
   dirty_.clear();
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -52,6 +52,9 @@
   explicit Scheduler(SchedulerSettings settings);
   ~Scheduler();
 
+  Scheduler(const Scheduler&) = delete;
+  Scheduler& operator=(const Scheduler&) = delete;
+
   /// Precondition: newer than the one before.
   void ApplyCatalog(const Catalog& catalog);
 
@@ -133,6 +136,7 @@
   bool IsUnrecorded(const Job* job, const Task* task, int run) const;
   void AdoptRunning(Vm& vm, const RunningRow& row, Millis now);
   void TakeEnd(Vm& vm, const EndedRow& row, bool lease_lapsed, Millis now);
+  bool IsSurelyOver(Run& run, Millis sent) const;
   void ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent);
   void ReleaseRun(Vm& vm, const TaskRef& ref, int number);
   void GiveUpRuns(Vm& vm);
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -242,7 +242,15 @@
         if (first || again) OrderStop(ref, run, now, orders);
       });
     }
-    at = any ? std::next(at) : ending_.erase(at);
+    if (any) {
+      ++at;
+      continue;
+    }
+    if (job) {
+      job->record_dirty = true;
+      dirty_.insert(job->id);
+    }
+    at = ending_.erase(at);
   }
 }
 
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -85,6 +85,7 @@
     run->settled = now;
     run->advanced = now;
   }
+  run->missing = false;
   if (row.percent > run->percent) {
     run->percent = row.percent;
     run->advanced = now;
@@ -107,6 +108,24 @@
   });
 }
 
+bool Scheduler::IsSurelyOver(Run& run, Millis sent) const {
+  // A run that is being stopped is on neither list until it has ended.
+  const Millis stopped_by =
+      run.settled + settings_.stop_time + settings_.stop_margin;
+  if (run.stop_confirmed) return sent > stopped_by;
+  if (run.phase == RunPhase::kInDoubt && run.ordered == Millis(0)) {
+    // An earlier owner's: it has ended, or is being stopped.
+    run.phase = RunPhase::kStopping;
+    run.ordered = run.settled = sent;
+    run.stop_confirmed = true;
+    return false;
+  }
+  if (run.phase != RunPhase::kRunning || run.settled >= sent) return false;
+  if (!run.missing) run.settled = sent;
+  run.missing = true;
+  return sent > run.settled + settings_.stop_time + settings_.stop_margin;
+}
+
 void Scheduler::ReleaseAbsentRuns(Vm& vm, const VmReport& report,
                                   Millis sent) {
   std::vector<RunKey> absent;
@@ -124,11 +143,7 @@
       absent.push_back(key);
       continue;
     }
-    const bool inherited = run->ordered == Millis(0);
-    const bool was_there =
-        run->phase == RunPhase::kRunning && run->settled < sent;
-    const bool barred = run->stop_confirmed && run->settled < sent;
-    if (inherited || was_there || barred) absent.push_back(key);
+    if (IsSurelyOver(*run, sent)) absent.push_back(key);
   }
   for (const RunKey& key : absent) {
     ReleaseRun(vm, key.first, key.second);
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -13,6 +13,8 @@
   Millis inherited_lease{17'500};  ///< Longest that an earlier owner's may last.
   Millis start_retry{400};       ///< Between sendings of one start.
   int starts_before_stop = 3;    ///< Sendings without an answer before a stop.
+  Millis stop_time{900};         ///< A VM takes at most this long to stop a run.
+  Millis stop_margin{200};       ///< And the owner waits this much longer.
   Millis stop_retry{500};        ///< Between sendings of one stop.
   Millis check_interval{100};    ///< Of retries, stalls and paces.
   Millis stall{3'000};           ///< Without progress, until a run is moved.
--- /dev/null
+++ b/tests/auto/jobs/scheduler_fixture.cc
@@ -0,0 +1,129 @@
+#include "auto/jobs/scheduler_fixture.h"
+
+#include <utility>
+
+namespace basilspur::jobs {
+
+static constexpr Millis kCallTime(10);
+
+SchedulerFixture::SchedulerFixture() {
+  queue.name = "reports";
+  queue.service = "workers";
+  queue.attempts = 2;
+  Catalog catalog;
+  catalog.version = 1;
+  catalog.queues = {queue};
+  scheduler.ApplyCatalog(catalog);
+}
+
+StepSpec SchedulerFixture::MakeStep(int count, std::int64_t cpu_millis) {
+  StepSpec step;
+  step.count = count;
+  step.need = {cpu_millis, 1'000, 0};
+  return step;
+}
+
+JobSpec SchedulerFixture::MakeJob(std::vector<StepSpec> steps) {
+  JobSpec job;
+  job.payload = "work";
+  job.steps = std::move(steps);
+  return job;
+}
+
+EndedRow SchedulerFixture::MakeEnd(std::int64_t number, const TaskRef& task,
+                                   int run, RunEnd end) {
+  EndedRow row;
+  row.number = number;
+  row.task = task;
+  row.run = run;
+  row.end = end;
+  return row;
+}
+
+void SchedulerFixture::AddVm(const std::string& id, const std::string& rack) {
+  VmListing listing;
+  listing.id = id;
+  listing.address = id + ":1";
+  listing.service = "workers";
+  listing.kind = "a";
+  listing.rack = rack;
+  listing.room = {16'000, 64'000, 0};
+  listings.push_back(listing);
+  scheduler.ListVm(listing, now);
+  Report(id, {});
+}
+
+void SchedulerFixture::Accept(const std::string& id, JobSpec spec) {
+  scheduler.Submit(id, queue, std::move(spec), wall_ms, now);
+  Flush();
+}
+
+void SchedulerFixture::Flush() {
+  const JournalBatch batch = scheduler.TakeBatch(wall_ms);
+  for (const JournalEntry& entry : batch.entries) {
+    if (entry.value.empty()) {
+      journal.erase(entry.key);
+    } else {
+      journal[entry.key] = entry.value;
+    }
+  }
+  scheduler.OnDurable(batch);
+}
+
+std::vector<Order> SchedulerFixture::Plan() {
+  return scheduler.Plan(wall_ms, now);
+}
+
+std::vector<Order> SchedulerFixture::PlanAndConfirm() {
+  std::vector<Order> orders = Plan();
+  for (const Order& order : orders) Answer(order, OrderOutcome::kDone);
+  return orders;
+}
+
+void SchedulerFixture::Answer(const Order& order, OrderOutcome outcome) {
+  const Millis sent = now;
+  scheduler.NextDeadline(order.vm, sent);
+  now = now + kCallTime;
+  scheduler.OnOrderOutcome(order, outcome, now.count, sent, now);
+}
+
+void SchedulerFixture::Report(const std::string& vm,
+                              std::vector<RunningRow> running,
+                              std::vector<EndedRow> ended) {
+  const Millis sent = now;
+  scheduler.NextDeadline(vm, sent);
+  now = now + kCallTime;
+  VmReport report;
+  report.clock_ms = now.count;
+  report.running = std::move(running);
+  report.ended = std::move(ended);
+  scheduler.OnReport(vm, report, sent, now);
+}
+
+std::unique_ptr<Scheduler> SchedulerFixture::TakeOver(int first_run) {
+  auto next = std::make_unique<Scheduler>(settings);
+  Catalog catalog;
+  catalog.version = 1;
+  catalog.queues = {queue};
+  next->ApplyCatalog(catalog);
+  for (const VmListing& listing : listings) next->ListVm(listing, now);
+  for (const auto& [key, value] : journal) {
+    if (!key.starts_with('v')) continue;
+    const auto record = records::Decode<VmRecord>(value);
+    next->RestoreVm(key.substr(1), ValueOf(record), now);
+  }
+  for (const auto& [key, value] : journal) {
+    if (!key.starts_with('j')) continue;
+    const std::string id = key.substr(1);
+    std::optional<ProgressRecord> progress;
+    const auto found = journal.find("p" + id);
+    if (found != journal.end()) {
+      progress = ValueOf(records::Decode<ProgressRecord>(found->second));
+    }
+    next->Restore(id, ValueOf(records::Decode<JobRecord>(value)), progress, now);
+  }
+  next->FinishRestore(first_run, now);
+  return next;
+}
+
+}  // namespace basilspur::jobs
--- /dev/null
+++ b/tests/auto/platform/wire_test.cc
@@ -0,0 +1,136 @@
+#include "wire.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+using namespace basilspur;           // NOLINT(google-build-using-namespace)
+using namespace basilspur::adapter;  // NOLINT(google-build-using-namespace)
+
+TEST_CASE("a task's name is read whole or not at all") {
+  const auto task = ParseTaskName("5c0e7a21d94b36f8.0.1.17");
+  REQUIRE(task);
+  CHECK(task->job == "5c0e7a21d94b36f8");
+  CHECK(task->step == 1);
+  CHECK(task->index == 17);
+  CHECK(task->ToString() == "5c0e7a21d94b36f8.0.1.17");
+  for (const char* text : {"", "a", "a.1.2", "a.1.2.3.4", "a.1.2.x", "a.1.2.-3",
+                           "a.1.2.", "a...", "a.99999999999.0.0"}) {
+    CAPTURE(text);
+    CHECK(!ParseTaskName(text));
+  }
+}
+
+TEST_CASE("a job id has 16 hexadecimal digits") {
+  CHECK(IsJobId("5c0e7a21d94b36f8"));
+  CHECK(!IsJobId("5c0e7a21d94b36f"));
+  CHECK(!IsJobId("5c0e7a21d94b36fg"));
+  CHECK(!IsJobId("5c0e7a21d94b36f8/"));
+}
+
+TEST_CASE("a job is decoded into typed fields") {
+  const auto job = DecodeJob(R"({"spec":"x","steps":[
+    {"count":4,"cpu":500,"mem_mb":256,"est_ms":900,"data_rack":"r1-3"},
+    {"count":20,"cpu":2000,"mem_mb":1024,"est_ms":7000,"deps":[0],
+     "saves_progress":true,"fills":true,"image":"i"}],
+    "start_ms":5,"interval_ms":6,"repeats":7})");
+  REQUIRE(IsOk(job));
+  const jobs::JobSpec& spec = ValueOf(job);
+  REQUIRE(spec.steps.size() == 2);
+  CHECK(spec.steps[0].data_rack == "r1-3");
+  CHECK(spec.steps[1].after == std::vector<int>{0});
+  CHECK(spec.steps[1].best_effort);
+  CHECK(spec.steps[1].Charge().cpu_millis == 0);
+  CHECK(spec.Occurrences() == 7);
+}
+
+TEST_CASE("a bad job is refused with a reason") {
+  const std::string step = R"({"count":1,"cpu":1})";
+  const std::string long_payload(4'001, 'x');
+  for (const std::string& text :
+       {std::string("not JSON"), std::string("[]"), std::string("{}"),
+        std::string(R"({"spec":1,"steps":[)") + step + "]}",
+        std::string(R"({"spec":"x","steps":[]})"),
+        std::string(R"({"spec":"x","steps":[{"count":0}]})"),
+        std::string(R"({"spec":"x","steps":[{"count":-1}]})"),
+        std::string(R"({"spec":"x","steps":[{"count":1,"deps":[0]}]})"),
+        std::string(R"({"spec":"x","steps":[{"count":"1"}]})"),
+        std::string(R"({"spec":"x","steps":[{"count":100000}]})"),
+        R"({"spec":")" + long_payload + R"(","steps":[)" + step + "]}"}) {
+    CAPTURE(text.substr(0, 80));
+    const auto job = DecodeJob(text);
+    REQUIRE(!IsOk(job));
+    CHECK(ErrorOf(job).code == ErrorCode::kInvalid);
+    CHECK(!ErrorOf(job).message.empty());
+  }
+}
+
+TEST_CASE("an entry of another writer is an error, not a VM") {
+  const std::string good =
+      R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready",
+          "room":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"]})";
+  const auto vm = DecodeVmListing("i-1", good);
+  REQUIRE(IsOk(vm));
+  CHECK(ValueOf(vm).rack == "r1-3");
+  CHECK(!ValueOf(vm).draining);
+  for (const char* text :
+       {"", "\xff\xfe", "3", "{}",
+        R"({"service":"s","address":"a","state":"asleep",
+            "room":{},"labels":["a","r"]})",
+        R"({"service":1,"address":"a","state":"ready",
+            "room":{},"labels":["a","r"]})",
+        R"({"service":"s","address":"a","state":"ready",
+            "room":7,"labels":["a","r"]})",
+        R"({"service":"s","address":"a","state":"ready",
+            "room":{},"labels":["a"]})"}) {
+    CAPTURE(text);
+    CHECK(!IsOk(DecodeVmListing("i-1", text)));
+  }
+}
+
+TEST_CASE("a configuration is decoded, and the longest prefix routes") {
+  const auto decoded = DecodeCatalog(R"({"version":7,"routes":[
+    {"name":"a","host":"h","path_prefix":"/x/","service":"s","attempts":3,
+     "priority":2,"stretch":2.2,"slo_ms":250},
+    {"name":"b","host":"h","path_prefix":"/x/y/","service":"s"}],
+    "services":[{"name":"s","enforces_capacity":true}],
+    "limits":{"max_body_bytes":5}})");
+  REQUIRE(IsOk(decoded));
+  const jobs::Catalog& catalog = ValueOf(decoded);
+  CHECK(catalog.version == 7);
+  CHECK(catalog.max_body_bytes == 5);
+  REQUIRE(catalog.Route("h", "/x/y/1"));
+  CHECK(catalog.Route("h", "/x/y/1")->name == "b");
+  CHECK(catalog.Route("h", "/x/1")->name == "a");
+  CHECK(!catalog.Route("other", "/x/1"));
+  CHECK(!IsOk(DecodeCatalog(R"({"version":"x"})")));
+}
+
+TEST_CASE("a VM's report is decoded") {
+  const auto report = DecodeReport(R"({"clock_ms":482113,
+    "running":[["5c0e7a21d94b36f8.0.1.17",2,"ab",41,12]],
+    "finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],
+                [59,"5c0e7a21d94b36f8.0.1.8",1,"lapsed","cd"]]})");
+  REQUIRE(IsOk(report));
+  CHECK(ValueOf(report).clock_ms == 482113);
+  REQUIRE(ValueOf(report).running.size() == 1);
+  CHECK(ValueOf(report).running[0].figure == 12);
+  REQUIRE(ValueOf(report).ended.size() == 2);
+  CHECK(ValueOf(report).ended[1].end == jobs::RunEnd::kLapsed);
+  CHECK(!IsOk(DecodeReport("{}")));
+}
+
+TEST_CASE("answers to orders say what became of them") {
+  const auto outcome = [](unsigned status, const char* body) {
+    return DecodeOrderAnswer(status, body).outcome;
+  };
+  CHECK(outcome(200, R"({"clock_ms":1})") == jobs::OrderOutcome::kDone);
+  CHECK(outcome(409, R"({"reason":"fence"})") ==
+        jobs::OrderOutcome::kStaleToken);
+  CHECK(outcome(409, R"({"reason":"old"})") ==
+        jobs::OrderOutcome::kSuperseded);
+  CHECK(outcome(409, R"({"reason":"late"})") == jobs::OrderOutcome::kExpired);
+  CHECK(outcome(409, R"({"reason":"room"})") == jobs::OrderOutcome::kNoRoom);
+  CHECK(outcome(421, "") == jobs::OrderOutcome::kOtherLife);
+  CHECK(outcome(429, "") == jobs::OrderOutcome::kRefused);
+  CHECK(outcome(400, "no JSON") == jobs::OrderOutcome::kRefused);
+}
