--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 mode=(-i)
 if [ "${1:-}" = --check ]; then mode=(--dry-run --Werror); fi
-find src tests -path '*/generated/*' -prune -o \( -name '*.h' -o -name '*.cc' \) -print0 |
+find src tests platform -path '*/generated/*' -prune -o \( -name '*.h' -o -name '*.cc' \) -print0 |
   xargs -0 clang-format "${mode[@]}"
--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -93,8 +93,8 @@
     request.kind = RequestKind::kStandDown;
     request.cell = cell_;
     request.token = token;
-    const JobReply reply = co_await ask_peer_(former.address, request,
-                                              kDismissPatience);
+    const JobReply reply =
+        co_await ask_peer_(former.address, request, kDismissPatience);
     if (owner_token_ != token) co_return;
     gone = reply.kind == ReplyKind::kStoodDown;
     if (!gone) co_await net::Sleep(kDismissRetry);
@@ -133,8 +133,7 @@
   if (appending_ || leaving_) return;
   if (election_.ShouldRenew(now)) {
     net::asio::co_spawn(
-        context_,
-        AppendRecord(election_.RenewalRecord(identity_.peer_address)),
+        context_, AppendRecord(election_.RenewalRecord(identity_.peer_address)),
         net::asio::detached);
   } else if (election_.ShouldRun(owned, now)) {
     net::asio::co_spawn(
@@ -150,8 +149,8 @@
   const bool renewal = record.token >= 0;
   const KeyedRecord written{kOwnerKey, records::Encode(record), 0};
   std::vector<KeyedRecord> records(1, written);
-  const AppendAnswer answer = co_await store_.AppendAt(
-      partition_, election_.End(), std::move(records));
+  const AppendAnswer answer =
+      co_await store_.AppendAt(partition_, election_.End(), std::move(records));
   const Millis now = clock_.Monotonic();
   switch (answer.verdict) {
     case AppendVerdict::kAppended:
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -61,7 +61,7 @@
       static_cast<int>((ownership_.term - 1) * kRunsPerTerm + 1);
   scheduler_.FinishRestore(first_run, Now());
   if (ownership_.handed_over) scheduler_.TrustRecords();
-  if (ownership_.handed_over) OnPredecessorsGone();
+  if (ownership_.handed_over || predecessors_gone_) OnPredecessorsGone();
   ready_ = true;
   net::asio::co_spawn(context_, RunJournal(), net::asio::detached);
   for (const jobs::VmListing& listing : scheduler_.VmsToRenew()) {
@@ -97,8 +97,8 @@
     scheduler_.RestoreVm(record.key.substr(1), ValueOf(decoded), Now());
     return;
   }
-  kLog.Error("event=journal_record_unreadable key=" + record.key +
-             " error=\"" + ErrorOf(decoded).ToString() + "\"");
+  kLog.Error("event=journal_record_unreadable key=" + record.key + " error=\"" +
+             ErrorOf(decoded).ToString() + "\"");
 }
 
 net::asio::awaitable<bool> CellOwner::ReadJournal() {
@@ -126,11 +126,10 @@
       }
       const std::string id = record.key.substr(1);
       const auto found = progress.find(id);
-      scheduler_.Restore(id, ValueOf(decoded),
-                         found == progress.end()
-                             ? std::nullopt
-                             : std::optional(found->second),
-                         Now());
+      scheduler_.Restore(
+          id, ValueOf(decoded),
+          found == progress.end() ? std::nullopt : std::optional(found->second),
+          Now());
     }
     co_return true;
   }
@@ -149,6 +148,7 @@
 }
 
 void CellOwner::OnPredecessorsGone() {
+  predecessors_gone_ = true;
   scheduler_.EndInheritedLeases(Now());
   kLog.Info("event=predecessors_gone" + CellField(ownership_));
 }
@@ -164,17 +164,16 @@
   if (!ready_ || Now() - summarized_ < settings_.summary_interval) return;
   summarized_ = Now();
   const jobs::CellSummary summary = scheduler_.Summary(Now());
-  kLog.Info("event=cell_state" + CellField(ownership_) +
-            " jobs=" + std::to_string(summary.active_jobs) +
-            " runs=" + std::to_string(summary.runs) +
-            " waiting=" + std::to_string(summary.waiting_tasks) +
-            " waiting_long_running=" +
-            std::to_string(summary.waiting_long_running) +
-            " waiting_best_effort=" +
-            std::to_string(summary.waiting_best_effort) +
-            " free_cpu_millis=" + std::to_string(summary.free_cpu_millis) +
-            " unreachable_vms=" + std::to_string(summary.unreachable_vms) +
-            " oldest_wait_ms=" + std::to_string(summary.oldest_wait.count));
+  kLog.Info(
+      "event=cell_state" + CellField(ownership_) +
+      " jobs=" + std::to_string(summary.active_jobs) +
+      " runs=" + std::to_string(summary.runs) +
+      " waiting=" + std::to_string(summary.waiting_tasks) +
+      " waiting_long_running=" + std::to_string(summary.waiting_long_running) +
+      " waiting_best_effort=" + std::to_string(summary.waiting_best_effort) +
+      " free_cpu_millis=" + std::to_string(summary.free_cpu_millis) +
+      " unreachable_vms=" + std::to_string(summary.unreachable_vms) +
+      " oldest_wait_ms=" + std::to_string(summary.oldest_wait.count));
 }
 
 void CellOwner::Wake() {
@@ -302,8 +301,7 @@
       co_await dirty_.Wait();
       continue;
     }
-    const jobs::JournalBatch batch =
-        scheduler_.TakeBatch(clock_.Wall().count);
+    const jobs::JournalBatch batch = scheduler_.TakeBatch(clock_.Wall().count);
     if (!co_await Write(batch)) co_return;
     scheduler_.OnDurable(batch);
     flushed_.NotifyAll();
@@ -384,9 +382,8 @@
     }
     const jobs::QueueConfig* queue = catalog_.FindQueue(request.queue);
     if (!queue) co_return JobReply{ReplyKind::kNotOwner};
-    const jobs::SubmitVerdict verdict =
-        scheduler_.Submit(request.job, *queue, request.spec,
-                          clock_.Wall().count, Now());
+    const jobs::SubmitVerdict verdict = scheduler_.Submit(
+        request.job, *queue, request.spec, clock_.Wall().count, Now());
     if (verdict == jobs::SubmitVerdict::kTooManyJobs) {
       co_return JobReply{ReplyKind::kBusy};
     }
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -19,13 +19,13 @@
 
 struct CellOwnerSettings {
   jobs::SchedulerSettings scheduler;
-  Millis flush_interval{15};     ///< Between appends to the journal.
-  Millis store_stalled{400};     ///< An append without an answer this long.
-  Millis idle_wait{2'000};       ///< Of a renewal at a VM without runs.
-  Millis busy_wait{1'000};       ///< Of a renewal at a VM with runs.
-  Millis mixed_wait{500};        ///< At a VM whose tails are watched.
-  Millis summary_interval{2'000};  ///< Between state lines in the log.
-  Millis silent_pause{150};      ///< After a renewal without an answer.
+  Millis flush_interval{15};         ///< Between appends to the journal.
+  Millis store_stalled{400};         ///< An append without an answer this long.
+  Millis idle_wait{2'000};           ///< Of a renewal at a VM without runs.
+  Millis busy_wait{1'000};           ///< Of a renewal at a VM with runs.
+  Millis mixed_wait{500};            ///< At a VM whose tails are watched.
+  Millis summary_interval{2'000};    ///< Between state lines in the log.
+  Millis silent_pause{150};          ///< After a renewal without an answer.
   std::size_t call_bytes = 1 << 20;  ///< Of the records in one append.
 };
 
@@ -46,9 +46,8 @@
   /// `on_deposed` is called when another owner has shown itself.
   /// Precondition: the references outlive the object.
   CellOwner(net::asio::io_context& context, Store& store, VmClient& vms,
-            const Clock& clock, CellOwnerSettings settings,
-            Ownership ownership, std::function<bool()> is_fresh,
-            std::function<void()> on_deposed);
+            const Clock& clock, CellOwnerSettings settings, Ownership ownership,
+            std::function<bool()> is_fresh, std::function<void()> on_deposed);
 
   /// Bars earlier owners from the journal, reads it, and starts work.
   /// Returns false if a later owner was there, or after Stop.
@@ -108,6 +107,7 @@
   std::optional<Millis> append_began_;
   std::set<std::string> driven_;
   Millis summarized_;
+  bool predecessors_gone_ = false;
   bool plan_posted_ = false;
   bool ready_ = false;
   bool draining_ = false;
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -13,12 +13,12 @@
 namespace basilspur::cell {
 
 struct ElectionSettings {
-  Millis renewal{1'000};       ///< Between records of an owner.
-  Millis silence{2'200};       ///< Without one, until others step in.
-  Millis spread{250};          ///< Candidates wait a random part of this.
-  Millis burden{150};          ///< And this for each cell that they own.
-  Millis fresh{1'500};         ///< Since a renewal, to speak for the cell.
-  Millis orphaned{12'000};     ///< Without a renewal, to renew VMs' leases.
+  Millis renewal{1'000};    ///< Between records of an owner.
+  Millis silence{2'200};    ///< Without one, until others step in.
+  Millis spread{250};       ///< Candidates wait a random part of this.
+  Millis burden{150};       ///< And this for each cell that they own.
+  Millis fresh{1'500};      ///< Since a renewal, to speak for the cell.
+  Millis orphaned{12'000};  ///< Without a renewal, to renew VMs' leases.
 };
 
 /// Decides when to run for a cell, and whether this node may act as its owner.
@@ -78,13 +78,13 @@
   std::optional<OwnerRecord> owner_;
   std::vector<FormerOwner> former_;
   bool handed_over_ = false;
-  bool read_ = false;       ///< The partition has been read to its end.
+  bool read_ = false;  ///< The partition has been read to its end.
   std::int64_t end_ = 0;
-  Millis seen_;             ///< When the owner last showed itself.
+  Millis seen_;  ///< When the owner last showed itself.
   std::optional<Millis> run_at_;
   std::int64_t token_ = -1;
   std::int64_t term_ = 0;
-  Millis renewed_;          ///< When the last renewal in force was sent.
+  Millis renewed_;  ///< When the last renewal in force was sent.
   std::int64_t abandoned_token_ = -1;  ///< Given up without a record.
 };
 
--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -57,8 +57,8 @@
   layout_ = ValueOf(decoded);
   kLog.Info("event=layout cells=" + std::to_string(layout_.cells));
   for (int cell = 0; cell < layout_.cells; ++cell) {
-    const std::uint64_t seed = StableHash(settings_.identity.incarnation +
-                                          "/" + std::to_string(cell));
+    const std::uint64_t seed =
+        StableHash(settings_.identity.incarnation + "/" + std::to_string(cell));
     members_.push_back(std::make_shared<CellMember>(
         context_, store_, clock_, settings_.identity, settings_.election, cell,
         seed,
@@ -133,9 +133,8 @@
     }
     if (layout_.cells > 0 || layout_end_ < 0 || writing_layout_) continue;
     FollowDirectory();
-    const bool settled =
-        !vms_.empty() &&
-        clock_.Monotonic() - first_vm_ >= settings_.layout_wait;
+    const bool settled = !vms_.empty() && clock_.Monotonic() - first_vm_ >=
+                                              settings_.layout_wait;
     if (!settled || catalog_.version < 0) continue;
     writing_layout_ = true;
     net::asio::co_spawn(context_, WriteLayout(), net::asio::detached);
@@ -157,14 +156,14 @@
 
 net::asio::awaitable<JobReply> Node::HandlePeer(JobRequest request) {
   JobReply reply;
-  const bool known = request.cell >= 0 &&
-                     request.cell < static_cast<int>(members_.size());
+  const bool known =
+      request.cell >= 0 && request.cell < static_cast<int>(members_.size());
   if (request.kind == RequestKind::kStandDown) {
     if (known) members_[request.cell]->OnStandDown(request.token);
     reply.kind = ReplyKind::kStoodDown;
   } else if (known && members_[request.cell]->Owner()) {
-    reply = co_await members_[request.cell]->Owner()->Handle(
-        std::move(request));
+    reply =
+        co_await members_[request.cell]->Owner()->Handle(std::move(request));
   }
   reply.incarnation = settings_.identity.incarnation;
   co_return reply;
@@ -192,8 +191,7 @@
 
 net::asio::awaitable<JobReply> Node::Ask(JobRequest request) {
   const Millis began = clock_.Monotonic();
-  const Millis patience =
-      Millis(request.patience_ms) - settings_.answer_margin;
+  const Millis patience = Millis(request.patience_ms) - settings_.answer_margin;
   bool in_doubt = false;
   for (;;) {
     const Millis spent = clock_.Monotonic() - began;
@@ -206,11 +204,11 @@
     }
     JobReply reply = co_await AskOnce(request, left);
     if (reply.kind == ReplyKind::kInDoubt) in_doubt = true;
-    const bool again = reply.kind == ReplyKind::kNotOwner ||
-                       reply.kind == ReplyKind::kInDoubt;
+    const bool again =
+        reply.kind == ReplyKind::kNotOwner || reply.kind == ReplyKind::kInDoubt;
     // What was in doubt can't be refused any more.
-    const bool refused = reply.kind == ReplyKind::kBusy ||
-                         reply.kind == ReplyKind::kUnavailable;
+    const bool refused =
+        reply.kind == ReplyKind::kBusy || reply.kind == ReplyKind::kUnavailable;
     if (!again && !(in_doubt && refused)) co_return reply;
     co_await net::Sleep(settings_.owner_retry);
   }
@@ -230,8 +228,7 @@
   JobReply reply =
       co_await AskPeer(owner->address, std::move(request), patience);
   // Another process replied, or nothing listens there: the owner is gone.
-  if (!reply.incarnation.empty() &&
-      reply.incarnation != owner->incarnation) {
+  if (!reply.incarnation.empty() && reply.incarnation != owner->incarnation) {
     member->OnOwnerDead(owner->incarnation);
   }
   co_return reply;
@@ -255,9 +252,8 @@
     co_return reply;
   }
   const std::string& text = ValueOf(answer).body;
-  const auto decoded = records::Decode<JobReply>(
-      std::span(reinterpret_cast<const std::uint8_t*>(text.data()),
-                text.size()));
+  const auto decoded = records::Decode<JobReply>(std::span(
+      reinterpret_cast<const std::uint8_t*>(text.data()), text.size()));
   if (IsOk(decoded)) co_return ValueOf(decoded);
   kLog.Error("event=peer_reply_unreadable error=\"" +
              ErrorOf(decoded).ToString() + "\"");
--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -22,11 +22,11 @@
   CellOwnerSettings owner;
   int vms_per_cell = 80;
   int most_cells = 24;
-  Millis layout_wait{1'500};    ///< After the first VMs were listed.
+  Millis layout_wait{1'500};  ///< After the first VMs were listed.
   Millis tick{100};
-  Millis owner_patience{700};   ///< For an owner, if nothing is in doubt.
+  Millis owner_patience{700};  ///< For an owner, if nothing is in doubt.
   Millis owner_retry{60};
-  Millis answer_margin{150};    ///< Left of a caller's time for the answer.
+  Millis answer_margin{150};  ///< Left of a caller's time for the answer.
 };
 
 /// One entry: answers callers' questions about jobs, itself or through the
--- a/src/libs/cell/peer_messages.h
+++ b/src/libs/cell/peer_messages.h
@@ -34,20 +34,20 @@
 };
 
 enum class ReplyKind {
-  kAccepted,      ///< The job is stored, now or before.
-  kCancelled,     ///< The cancelling is stored, or the job had ended.
+  kAccepted,   ///< The job is stored, now or before.
+  kCancelled,  ///< The cancelling is stored, or the job had ended.
   kQueued,
   kRunning,
   kDone,
   kFailed,
   kWasCancelled,  ///< The state after a cancelling.
   kNoSuchJob,
-  kCount,         ///< `count` jobs wait.
-  kBusy,          ///< Not accepted: too many jobs.
-  kUnavailable,   ///< Not accepted: the store can't be reached.
-  kInDoubt,       ///< It may have been stored or not.
-  kStoodDown,     ///< The replying process does not own the cell.
-  kNotOwner,      ///< Ask the owner; nothing was done.
+  kCount,        ///< `count` jobs wait.
+  kBusy,         ///< Not accepted: too many jobs.
+  kUnavailable,  ///< Not accepted: the store can't be reached.
+  kInDoubt,      ///< It may have been stored or not.
+  kStoodDown,    ///< The replying process does not own the cell.
+  kNotOwner,     ///< Ask the owner; nothing was done.
 };
 
 struct JobReply {
--- a/src/libs/cell/topic_watcher.cc
+++ b/src/libs/cell/topic_watcher.cc
@@ -51,8 +51,9 @@
     const Result<RecordSlice> read =
         co_await store_.ReadFrom(partition_, next_, settings_.wait);
     if (!IsOk(read)) {
-      if (!failing) kLog.Warning("event=store_lost topic=" + partition_.topic +
-                                 " error=\"" + ErrorOf(read).ToString() + "\"");
+      if (!failing)
+        kLog.Warning("event=store_lost topic=" + partition_.topic +
+                     " error=\"" + ErrorOf(read).ToString() + "\"");
       failing = true;
       co_await net::Sleep(settings_.retry);
       continue;
--- a/src/libs/cell/topic_watcher.h
+++ b/src/libs/cell/topic_watcher.h
@@ -14,9 +14,9 @@
 
 /// How a watcher reads on.
 struct WatchSettings {
-  Millis wait{20'000};   ///< For the first record of a read.
-  Millis pause{0};       ///< Between reads; longer: fewer wake-ups, more lag.
-  Millis retry{200};     ///< After a failed read.
+  Millis wait{20'000};  ///< For the first record of a read.
+  Millis pause{0};      ///< Between reads; longer: fewer wake-ups, more lag.
+  Millis retry{200};    ///< After a failed read.
 };
 
 /// Follows the newest record of each key of a partition.
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -24,10 +24,10 @@
   int number = 0;
   std::string vm;
   RunPhase phase = RunPhase::kOrdered;
-  Millis ordered;          ///< When the last order went out.
-  Millis settled;          ///< When the VM confirmed the last order.
-  Millis began;            ///< When the run was first ordered.
-  Millis advanced;         ///< When its progress last rose.
+  Millis ordered;   ///< When the last order went out.
+  Millis settled;   ///< When the VM confirmed the last order.
+  Millis began;     ///< When the run was first ordered.
+  Millis advanced;  ///< When its progress last rose.
   int starts_sent = 0;
   int percent = 0;
   bool in_doubt = false;  ///< A start went unanswered; it may come late.
@@ -72,10 +72,10 @@
   JobRecord record;
   std::deque<Occurrence> occurrences;  ///< Those that are due and not done.
   int finished_occurrences = 0;
-  int next_occurrence = 0;  ///< The next to become due.
-  bool accepted = false;    ///< The journal holds it.
-  bool begun = false;       ///< A task of it has been started.
-  bool old = false;         ///< From before this owner's term.
+  int next_occurrence = 0;               ///< The next to become due.
+  bool accepted = false;                 ///< The journal holds it.
+  bool begun = false;                    ///< A task of it has been started.
+  bool old = false;                      ///< From before this owner's term.
   JobStatus shown = JobStatus::kActive;  ///< As far as the journal holds it.
   bool record_dirty = false;
   bool progress_dirty = false;
--- a/src/libs/jobs/journal_batch.h
+++ b/src/libs/jobs/journal_batch.h
@@ -20,8 +20,8 @@
 /// What has to be durable together, and what it covers.
 struct JournalBatch {
   std::vector<JournalEntry> entries;
-  std::map<std::string, JobStatus> jobs;       ///< As of this batch.
-  std::map<std::string, std::int64_t> ends;    ///< By VM, the newest taken in.
+  std::map<std::string, JobStatus> jobs;     ///< As of this batch.
+  std::map<std::string, std::int64_t> ends;  ///< By VM, the newest taken in.
 };
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/order.h
+++ b/src/libs/jobs/order.h
@@ -24,15 +24,15 @@
 
 /// What became of an order.
 enum class OrderOutcome {
-  kDone,         ///< Carried out, now or before.
-  kStaleToken,   ///< A newer owner has given orders to the VM.
-  kSuperseded,   ///< A later run of the task was there, or this one ended.
-  kExpired,      ///< The lease named in the order had run out.
-  kNoRoom,       ///< The VM guards its room, and the run did not fit.
-  kNoTicket,     ///< The placement ticket was missing or not valid.
-  kRefused,      ///< Not carried out, for a passing reason.
-  kOtherLife,    ///< The VM has restarted since.
-  kUnknown,      ///< No answer; it may be carried out, even later.
+  kDone,        ///< Carried out, now or before.
+  kStaleToken,  ///< A newer owner has given orders to the VM.
+  kSuperseded,  ///< A later run of the task was there, or this one ended.
+  kExpired,     ///< The lease named in the order had run out.
+  kNoRoom,      ///< The VM guards its room, and the run did not fit.
+  kNoTicket,    ///< The placement ticket was missing or not valid.
+  kRefused,     ///< Not carried out, for a passing reason.
+  kOtherLife,   ///< The VM has restarted since.
+  kUnknown,     ///< No answer; it may be carried out, even later.
 };
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -28,8 +28,8 @@
   /// The best of `vms` for a run of `task`. `siblings` are the tasks of the
   /// same step and occurrence.
   Place Pick(const std::vector<Vm*>& vms, const StepSpec& spec,
-           const std::string& service, const Task& task,
-           const std::vector<Task>& siblings, Millis now) const;
+             const std::string& service, const Task& task,
+             const std::vector<Task>& siblings, Millis now) const;
 
  private:
   bool IsEligible(const Vm& vm, const StepSpec& spec,
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -26,8 +26,8 @@
     const QueueConfig* queue = catalog_.FindQueue(job->record.queue);
     if (!queue) continue;
     JobRecord& record = job->record;
-    const bool same = queue->service == record.service &&
-                      queue->attempts == record.attempts;
+    const bool same =
+        queue->service == record.service && queue->attempts == record.attempts;
     if (same) continue;
     record.service = queue->service;
     record.attempts = queue->attempts;
@@ -149,7 +149,9 @@
   return true;
 }
 
-bool Scheduler::Knows(const std::string& id) const { return jobs_.contains(id); }
+bool Scheduler::Knows(const std::string& id) const {
+  return jobs_.contains(id);
+}
 
 bool Scheduler::IsAccepted(const std::string& id) const {
   const auto found = jobs_.find(id);
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -30,13 +30,13 @@
 /// How a cell stands, for logs and metrics.
 struct CellSummary {
   int active_jobs = 0;
-  int waiting_tasks = 0;       ///< That could run now.
+  int waiting_tasks = 0;  ///< That could run now.
   int waiting_long_running = 0;
   int waiting_best_effort = 0;
   int runs = 0;
   int unreachable_vms = 0;
   std::int64_t free_cpu_millis = 0;
-  Millis oldest_wait;          ///< Of a job with a task that could run.
+  Millis oldest_wait;  ///< Of a job with a task that could run.
 };
 
 /// What callers are shown of a job.
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -83,8 +83,8 @@
   const StepSpec& spec = job.record.spec.steps[step];
   for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
     if (!NeedsRun(tasks[index], now)) continue;
-    const Place place = placer_.Pick(vms, spec, job.record.service,
-                                     tasks[index], tasks, now);
+    const Place place =
+        placer_.Pick(vms, spec, job.record.service, tasks[index], tasks, now);
     if (!place.vm) return;
     StartTask(job, {job.id, occurrence.number, step, index}, place,
               NextRunNumber(job, tasks[index]), now, orders);
@@ -111,8 +111,8 @@
     }
     std::vector<Order> placed;
     for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
-      const Place place = placer_.Pick(vms, spec, job.record.service,
-                                       tasks[index], tasks, now);
+      const Place place =
+          placer_.Pick(vms, spec, job.record.service, tasks[index], tasks, now);
       if (!place.vm) break;
       StartTask(job, {job.id, occurrence.number, step, index}, place, number,
                 now, placed);
@@ -139,8 +139,7 @@
 }
 
 void Scheduler::StartTask(Job& job, const TaskRef& ref, const Place& place,
-                          int number, Millis now,
-                          std::vector<Order>& orders) {
+                          int number, Millis now, std::vector<Order>& orders) {
   Vm& vm = *place.vm;
   Task& task = job.At(ref);
   const StepSpec& spec = job.record.spec.steps[ref.step];
@@ -237,8 +236,8 @@
       ForEachRun(*job, [&](const TaskRef& ref, Task&, Run& run) {
         any = true;
         const bool first = run.phase != RunPhase::kStopping;
-        const bool again = !run.stop_confirmed &&
-                           now - run.ordered >= settings_.stop_retry;
+        const bool again =
+            !run.stop_confirmed && now - run.ordered >= settings_.stop_retry;
         if (first || again) OrderStop(ref, run, now, orders);
       });
     }
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -49,8 +49,7 @@
   vm->settled = true;
 }
 
-bool Scheduler::IsUnrecorded(const Job* job, const Task* task,
-                             int run) const {
+bool Scheduler::IsUnrecorded(const Job* job, const Task* task, int run) const {
   // An owner of an earlier term ordered it and could not record it any more.
   return task && !task->done && job->old && !IsFinal(job->record.status) &&
          run > task->recorded_run && run < first_run_;
@@ -61,8 +60,8 @@
   Task* task = job ? job->FindOrAdd(row.task) : nullptr;
   Run* run = task ? task->FindRun(row.run) : nullptr;
   const RunKey key{row.task, row.run};
-  const bool unrecorded = !run && IsUnrecorded(job, task, row.run) &&
-                          row.run > task->last_run;
+  const bool unrecorded =
+      !run && IsUnrecorded(job, task, row.run) && row.run > task->last_run;
   if (unrecorded && !vm.lapsed) {
     run = &task->runs.emplace_back();
     run->number = row.run;
@@ -126,8 +125,7 @@
   return sent > run.settled + settings_.stop_time + settings_.stop_margin;
 }
 
-void Scheduler::ReleaseAbsentRuns(Vm& vm, const VmReport& report,
-                                  Millis sent) {
+void Scheduler::ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent) {
   std::vector<RunKey> absent;
   for (const auto& [key, charge] : vm.Runs()) {
     const auto has = [&key = key](const auto& row) {
@@ -200,8 +198,7 @@
   }
 }
 
-void Scheduler::ApplyFailure(Job& job, const TaskRef& ref, Vm& vm,
-                             Millis now) {
+void Scheduler::ApplyFailure(Job& job, const TaskRef& ref, Vm& vm, Millis now) {
   Task& task = job.At(ref);
   ++task.failures;
   task.failed_on.push_back(vm.listing.id);
@@ -216,7 +213,8 @@
       failures += member.failures;
     }
   }
-  if (failures >= job.record.attempts) EndJob(job, JobStatus::kFailed, wall_ms_);
+  if (failures >= job.record.attempts)
+    EndJob(job, JobStatus::kFailed, wall_ms_);
 }
 
 void Scheduler::NoteVmFailure(Vm& vm, Millis now) {
@@ -267,8 +265,7 @@
 }
 
 void Scheduler::OnOrderOutcome(const Order& order, OrderOutcome outcome,
-                               std::int64_t clock_ms, Millis sent,
-                               Millis now) {
+                               std::int64_t clock_ms, Millis sent, Millis now) {
   Vm* vm = FindVm(order.vm);
   if (!vm) return;
   if (clock_ms > 0) vm->NoteClock(clock_ms, sent, now);
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -8,21 +8,22 @@
 
 /// Limits and times of a scheduler.
 struct SchedulerSettings {
-  Millis lease{5'000};           ///< Of all runs of a VM; renewals extend it.
-  Millis lease_drift{250};       ///< By which a VM may count a lease longer.
-  Millis inherited_lease{17'500};  ///< Longest that an earlier owner's may last.
-  Millis start_retry{400};       ///< Between sendings of one start.
-  int starts_before_stop = 3;    ///< Sendings without an answer before a stop.
-  Millis stop_time{900};         ///< A VM takes at most this long to stop a run.
-  Millis stop_margin{200};       ///< And the owner waits this much longer.
-  Millis stop_retry{500};        ///< Between sendings of one stop.
-  Millis check_interval{100};    ///< Of retries, stalls and paces.
-  Millis stall{3'000};           ///< Without progress, until a run is moved.
-  Millis quarantine{4'000};      ///< Without new runs, for a VM that fails all.
+  Millis lease{5'000};      ///< Of all runs of a VM; renewals extend it.
+  Millis lease_drift{250};  ///< By which a VM may count a lease longer.
+  Millis inherited_lease{
+      17'500};                 ///< Longest that an earlier owner's may last.
+  Millis start_retry{400};     ///< Between sendings of one start.
+  int starts_before_stop = 3;  ///< Sendings without an answer before a stop.
+  Millis stop_time{900};       ///< A VM takes at most this long to stop a run.
+  Millis stop_margin{200};     ///< And the owner waits this much longer.
+  Millis stop_retry{500};      ///< Between sendings of one stop.
+  Millis check_interval{100};  ///< Of retries, stalls and paces.
+  Millis stall{3'000};         ///< Without progress, until a run is moved.
+  Millis quarantine{4'000};    ///< Without new runs, for a VM that fails all.
   int failures_to_quarantine = 3;
-  Millis status_time{120'000};   ///< How long an ended job is remembered.
+  Millis status_time{120'000};  ///< How long an ended job is remembered.
   std::size_t max_active_jobs = 4'000;
-  Millis yield{700};             ///< At pace 0, until a run is moved.
+  Millis yield{700};  ///< At pace 0, until a run is moved.
   TailSettings tails;
 };
 
--- a/src/libs/jobs/step_spec.h
+++ b/src/libs/jobs/step_spec.h
@@ -14,21 +14,21 @@
 /// Thread safety: a plain value.
 struct StepSpec {
   int count = 0;
-  records::Resources need;        ///< Of each task.
-  std::int64_t estimate_ms = 0;   ///< The submitter's rough guess for a task.
-  std::vector<int> after;         ///< Earlier steps that must be done first.
-  bool saves_progress = false;    ///< Tasks write checkpoints.
-  bool gang = false;              ///< Tasks only work all together.
-  bool rack_local = false;        ///< Slower when spread over racks.
-  bool speculative = false;       ///< Copies of a task may race.
-  bool long_running = false;      ///< Runs until the job is cancelled.
-  std::string required_label;     ///< Empty: any VM.
-  std::string data_rack;          ///< Slower on other racks; empty: none.
-  int max_per_vm = 0;             ///< Tasks of this step on a VM; 0: any.
-  std::string image;              ///< Tasks of one image behave alike.
+  records::Resources need;          ///< Of each task.
+  std::int64_t estimate_ms = 0;     ///< The submitter's rough guess for a task.
+  std::vector<int> after;           ///< Earlier steps that must be done first.
+  bool saves_progress = false;      ///< Tasks write checkpoints.
+  bool gang = false;                ///< Tasks only work all together.
+  bool rack_local = false;          ///< Slower when spread over racks.
+  bool speculative = false;         ///< Copies of a task may race.
+  bool long_running = false;        ///< Runs until the job is cancelled.
+  std::string required_label;       ///< Empty: any VM.
+  std::string data_rack;            ///< Slower on other racks; empty: none.
+  int max_per_vm = 0;               ///< Tasks of this step on a VM; 0: any.
+  std::string image;                ///< Tasks of one image behave alike.
   std::int64_t tail_target_ms = 0;  ///< Tail latency to keep; 0: none.
-  bool best_effort = false;       ///< Runs on processor time left unused.
-  int may_miss = 0;               ///< Tasks that may be away at a time.
+  bool best_effort = false;         ///< Runs on processor time left unused.
+  int may_miss = 0;                 ///< Tasks that may be away at a time.
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
--- a/src/libs/jobs/tail_watch.cc
+++ b/src/libs/jobs/tail_watch.cc
@@ -39,8 +39,7 @@
     if (run.best_effort_cpu == 0 || room <= 0) continue;
     const double ordered =
         static_cast<double>(run.best_effort_cpu) * run.pace / 100;
-    const double used =
-        measured ? static_cast<double>(run.figure) : ordered;
+    const double used = measured ? static_cast<double>(run.figure) : ordered;
     shares[run.image] += used / room;
   }
   return shares;
@@ -142,9 +141,8 @@
 }
 
 void TailWatch::Throttle(Vm& vm, const RunOnVm& victim, Millis now) {
-  const bool too_long =
-      victim.over_since != Millis(0) &&
-      now - victim.over_since >= settings_.longest_over;
+  const bool too_long = victim.over_since != Millis(0) &&
+                        now - victim.over_since >= settings_.longest_over;
   Mix mix;
   mix.services.assign(1, victim.image);
   const auto room = static_cast<double>(vm.listing.room.cpu_millis);
--- a/src/libs/jobs/tail_watch.h
+++ b/src/libs/jobs/tail_watch.h
@@ -14,10 +14,10 @@
 
 struct TailSettings {
   double place_limit = 0.58;     ///< Predicted share of a target, when placing.
-  double throttle_from = 0.85;  ///< Measured share of a target.
-  double release_below = 0.6;   ///< Measured share of a target.
-  Millis longest_over{1'500};   ///< Over its target, until all yield.
-  Millis pace_interval{600};    ///< Between changes at a VM.
+  double throttle_from = 0.85;   ///< Measured share of a target.
+  double release_below = 0.6;    ///< Measured share of a target.
+  Millis longest_over{1'500};    ///< Over its target, until all yield.
+  Millis pace_interval{600};     ///< Between changes at a VM.
   Millis observe_interval{400};  ///< Between lessons from a VM.
 };
 
--- a/src/libs/jobs/task_ref.h
+++ b/src/libs/jobs/task_ref.h
@@ -19,8 +19,8 @@
 
   /// For logs: "JOB.OCCURRENCE.STEP.INDEX".
   std::string ToString() const {
-    return job + "." + std::to_string(occurrence) + "." +
-           std::to_string(step) + "." + std::to_string(index);
+    return job + "." + std::to_string(occurrence) + "." + std::to_string(step) +
+           "." + std::to_string(index);
   }
 };
 
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -46,10 +46,11 @@
 }
 
 bool Vm::HasLapsed(Millis now) const {
-  if (!clock_known_) return now > inherited_lapse_;
+  // As long as this owner has set no deadline, an earlier one's holds.
+  if (!clock_known_ || max_deadline_ms_ == 0) return now > inherited_lapse_;
   const std::int64_t left = max_deadline_ms_ - clock_ms_;
-  const Millis lapse = clock_at_ + Millis(left * 100 / (100 - kDriftPercent)) +
-                       kLapseMargin;
+  const Millis lapse =
+      clock_at_ + Millis(left * 100 / (100 - kDriftPercent)) + kLapseMargin;
   return now > lapse;
 }
 
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -37,7 +37,7 @@
 
 /// How far a tail is from its target, as a line over added best-effort work.
 struct TailLine {
-  double now = 0;          ///< Share of the target, with what runs.
+  double now = 0;            ///< Share of the target, with what runs.
   double per_millicore = 0;  ///< Added by each thousandth of a core.
 };
 
@@ -78,11 +78,11 @@
   VmListing listing;
   bool listed = true;
   bool reachable = false;
-  bool recorded = false;  ///< The journal names it, or is about to.
-  bool settled = false;   ///< Has answered this owner, or has lapsed.
-  bool lapsed = false;    ///< Its runs were given up.
-  std::int64_t last_end = 0;      ///< The newest end that was taken in.
-  std::int64_t durable_end = 0;   ///< The newest that the journal covers.
+  bool recorded = false;         ///< The journal names it, or is about to.
+  bool settled = false;          ///< Has answered this owner, or has lapsed.
+  bool lapsed = false;           ///< Its runs were given up.
+  std::int64_t last_end = 0;     ///< The newest end that was taken in.
+  std::int64_t durable_end = 0;  ///< The newest that the journal covers.
   int failures_in_row = 0;
   Millis quarantined_until;
   Millis paced_at;     ///< When a pace was last ordered.
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -48,8 +48,7 @@
     if (failure) {
       const bool refused = failure == asio::error::connection_refused;
       co_return Error{refused ? ErrorCode::kRefused : ErrorCode::kUnavailable,
-                      "connect", address,
-                      failure.message()};
+                      "connect", address, failure.message()};
     }
     stream->socket().set_option(asio::ip::tcp::no_delay(true));
     co_return stream;
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -50,8 +50,7 @@
 
 static bool HasUnknownCoding(const http::request<http::string_body>& message) {
   const auto coding = message.find(http::field::transfer_encoding);
-  return coding != message.end() &&
-         !beast::iequals(coding->value(), "chunked");
+  return coding != message.end() && !beast::iequals(coding->value(), "chunked");
 }
 
 static asio::awaitable<void> Refuse(beast::tcp_stream& stream,
@@ -142,18 +141,17 @@
 }
 
 Result<std::uint16_t> ServeHttp(asio::io_context& context,
-                                const std::string& address,
-                                HttpHandler handler,
+                                const std::string& address, HttpHandler handler,
                                 HttpServerOptions options) {
   Result<asio::ip::tcp::acceptor> listening = Listen(context, address);
   if (!IsOk(listening)) return ErrorOf(listening);
   asio::ip::tcp::acceptor& acceptor = ValueOf(listening);
   const std::uint16_t port = acceptor.local_endpoint().port();
-  asio::co_spawn(context,
-                 AcceptLoop(std::move(acceptor),
-                            std::make_shared<Service>(
-                                Service{std::move(handler), options})),
-                 asio::detached);
+  asio::co_spawn(
+      context,
+      AcceptLoop(std::move(acceptor), std::make_shared<Service>(Service{
+                                          std::move(handler), options})),
+      asio::detached);
   return port;
 }
 
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -28,8 +28,7 @@
 /// Returns the port in use, or an error if the address can't be bound.
 /// Thread safety: `handler` runs on the threads of `context`.
 Result<std::uint16_t> ServeHttp(asio::io_context& context,
-                                const std::string& address,
-                                HttpHandler handler,
+                                const std::string& address, HttpHandler handler,
                                 HttpServerOptions options = {});
 
 /// Opens a listening socket. Errors name the address.
--- a/tests/auto/jobs/scheduler_fixture.cc
+++ b/tests/auto/jobs/scheduler_fixture.cc
@@ -120,7 +120,8 @@
     if (found != journal.end()) {
       progress = ValueOf(records::Decode<ProgressRecord>(found->second));
     }
-    next->Restore(id, ValueOf(records::Decode<JobRecord>(value)), progress, now);
+    next->Restore(id, ValueOf(records::Decode<JobRecord>(value)), progress,
+                  now);
   }
   next->FinishRestore(first_run, now);
   return next;
--- a/tests/auto/jobs/scheduler_test.cc
+++ b/tests/auto/jobs/scheduler_test.cc
@@ -25,7 +25,8 @@
   return row;
 }
 
-TEST_CASE("a job starts once it is durable, and is shown as done once that is") {
+TEST_CASE(
+    "a job starts once it is durable, and is shown as done once that is") {
   SchedulerFixture fixture;
   fixture.AddVm("vm");
   fixture.scheduler.Submit(kJob, fixture.queue,
@@ -51,8 +52,7 @@
   fixture.AddVm("vm");
   StepSpec second = fixture.MakeStep(1, 1'000);
   second.after = {0};
-  fixture.Accept(kJob,
-                 fixture.MakeJob({fixture.MakeStep(2, 1'000), second}));
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(2, 1'000), second}));
   CHECK(fixture.PlanAndConfirm().size() == 2);
   fixture.Report("vm", {MakeRunning({kJob, 0, 0, 1}, 1)},
                  {fixture.MakeEnd(1, kTask, 1, RunEnd::kDone)});
@@ -244,6 +244,25 @@
   CHECK(starts() == 1);
 }
 
+TEST_CASE("a VM that has answered a stop, but no renewal, keeps its runs") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  fixture.Accept("00000000000000bb",
+                 fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  REQUIRE(fixture.PlanAndConfirm().size() == 2);
+  fixture.scheduler.Cancel(kJob, fixture.wall_ms);
+  fixture.Flush();
+  const auto next = fixture.TakeOver(17);
+  const std::vector<Order> stops = next->Plan(fixture.wall_ms, fixture.now);
+  REQUIRE(stops.size() == 1);
+  next->OnOrderOutcome(stops[0], OrderOutcome::kDone, fixture.now.count,
+                       fixture.now, fixture.now + Millis(5));
+  CHECK(OfKind(next->Plan(fixture.wall_ms, fixture.now + Millis(10)),
+               OrderKind::kStart)
+            .empty());
+}
+
 TEST_CASE("a new owner judges attempts by the job's record") {
   SchedulerFixture fixture;
   fixture.AddVm("vm");
--- a/tests/auto/platform/wire_test.cc
+++ b/tests/auto/platform/wire_test.cc
@@ -72,15 +72,14 @@
   REQUIRE(IsOk(vm));
   CHECK(ValueOf(vm).rack == "r1-3");
   CHECK(!ValueOf(vm).draining);
-  for (const char* text :
-       {"", "\xff\xfe", "3", "{}",
-        R"({"service":"s","address":"a","state":"asleep",
+  for (const char* text : {"", "\xff\xfe", "3", "{}",
+                           R"({"service":"s","address":"a","state":"asleep",
             "room":{},"labels":["a","r"]})",
-        R"({"service":1,"address":"a","state":"ready",
+                           R"({"service":1,"address":"a","state":"ready",
             "room":{},"labels":["a","r"]})",
-        R"({"service":"s","address":"a","state":"ready",
+                           R"({"service":"s","address":"a","state":"ready",
             "room":7,"labels":["a","r"]})",
-        R"({"service":"s","address":"a","state":"ready",
+                           R"({"service":"s","address":"a","state":"ready",
             "room":{},"labels":["a"]})"}) {
     CAPTURE(text);
     CHECK(!IsOk(DecodeVmListing("i-1", text)));
@@ -126,8 +125,7 @@
   CHECK(outcome(200, R"({"clock_ms":1})") == jobs::OrderOutcome::kDone);
   CHECK(outcome(409, R"({"reason":"fence"})") ==
         jobs::OrderOutcome::kStaleToken);
-  CHECK(outcome(409, R"({"reason":"old"})") ==
-        jobs::OrderOutcome::kSuperseded);
+  CHECK(outcome(409, R"({"reason":"old"})") == jobs::OrderOutcome::kSuperseded);
   CHECK(outcome(409, R"({"reason":"late"})") == jobs::OrderOutcome::kExpired);
   CHECK(outcome(409, R"({"reason":"room"})") == jobs::OrderOutcome::kNoRoom);
   CHECK(outcome(421, "") == jobs::OrderOutcome::kOtherLife);
