Let the test of the inherited lease fail on the old code

As first committed it had one VM only and passed before the change too; with a second, settled VM it fails on the old code and passes on the new.

--- a/tests/auto/jobs/scheduler_test.cc
+++ b/tests/auto/jobs/scheduler_test.cc
@@ -253,7 +253,11 @@
   REQUIRE(fixture.PlanAndConfirm().size() == 2);
   fixture.scheduler.Cancel(kJob, fixture.wall_ms);
   fixture.Flush();
+  fixture.AddVm("other");
   const auto next = fixture.TakeOver(17);
+  VmReport idle;
+  idle.clock_ms = fixture.now.count;
+  next->OnReport("other", idle, fixture.now, fixture.now + Millis(5));
   const std::vector<Order> stops = next->Plan(fixture.wall_ms, fixture.now);
   REQUIRE(stops.size() == 1);
   next->OnOrderOutcome(stops[0], OrderOutcome::kDone, fixture.now.count,
