--- /dev/null
+++ b/tests/system/platform_cell.cc
@@ -0,0 +1,190 @@
+#include "system/platform_cell.h"
+
+#include <signal.h>
+#include <stdlib.h>
+
+#include <fstream>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+
+#include "fakes/free_address.h"
+#include "net/address.h"
+#include "net/http_client.h"
+
+namespace basilspur::system_test {
+
+using Json = nlohmann::json;
+
+static constexpr Millis kCallPatience(4'000);
+static constexpr std::chrono::milliseconds kPollInterval(20);
+static constexpr int kPolls = 500;
+
+static std::string MakeFolder() {
+  std::string path = "/tmp/basilspur-platform-XXXXXX";
+  if (!mkdtemp(path.data())) throw std::runtime_error("no folder");
+  return path;
+}
+
+PlatformCell::PlatformCell(int entries, int workers)
+    : folder_(MakeFolder()), entries_(entries) {
+  store_address_ = fakes::FreeAddress();
+  net::ServeHttp(context_, store_address_, [this](net::HttpRequest request) {
+    return store.Answer(std::move(request));
+  });
+  for (int i = 0; i < workers; ++i) {
+    this->workers.push_back(std::make_unique<standins::WorkerStandin>(
+        "i-" + std::to_string(i), histories));
+    worker_addresses_.push_back(fakes::FreeAddress());
+    net::ServeHttp(
+        context_, worker_addresses_.back(),
+        [worker = this->workers.back().get()](net::HttpRequest request) {
+          return worker->Answer(std::move(request));
+        });
+  }
+  store.Put("keyed.op", "config",
+            R"({"version":1,"routes":[{"name":"r","host":"jobs.example",
+                "path_prefix":"/q/","service":"s","attempts":2}],
+                "services":[{"name":"s"}]})");
+  ListWorkers();
+  for (int i = 0; i < entries; ++i) {
+    addresses_.push_back(
+        {fakes::FreeAddress(), fakes::FreeAddress(), fakes::FreeAddress()});
+  }
+  thread_ = std::thread([this] { context_.run(); });
+  for (int i = 0; i < entries; ++i) StartEntry(i);
+}
+
+PlatformCell::~PlatformCell() {
+  entries_.clear();
+  context_.stop();
+  thread_.join();
+}
+
+void PlatformCell::ListWorkers() {
+  for (std::size_t i = 0; i < worker_addresses_.size(); ++i) {
+    const Json entry = {{"service", "s"},
+                        {"address", worker_addresses_[i]},
+                        {"state", "ready"},
+                        {"room", {{"cpu", 4'000}, {"mem_mb", 8'000}}},
+                        {"labels", {"a", "r1"}}};
+    store.Put("keyed.servers", "i-" + std::to_string(i), entry.dump());
+  }
+  store.Put("keyed.servers", "i-other", "an entry of another writer");
+}
+
+void PlatformCell::StartEntry(int entry) {
+  const Addresses& addresses = addresses_[entry];
+  const std::string name = folder_ + "/entry-" + std::to_string(entry);
+  const auto peers = net::ParseAddress(addresses.peers);
+  const int port = ValueOf(peers).port;
+  std::ofstream settings(name + ".toml");
+  settings << "node = \"entry-" << entry << "\"\nip = \"127.0.0.1\"\n"
+           << "port_range = [" << port << ", " << port + 1 << "]\n"
+           << "[listen]\nfront = \"" << addresses.front << "\"\nready = \""
+           << addresses.ready << "\"\n[platform]\naddress = \""
+           << store_address_ << "\"\n[bounds]\ngrace_s = 4\n";
+  settings.close();
+  entries_[entry] = std::make_unique<Process>(
+      std::vector<std::string>{BASILSPUR_BIN "/basilspur-node", "--boot",
+                               name + ".toml"},
+      name + ".log");
+}
+
+static Result<net::HttpResponse> CallOnce(const std::string& address,
+                                          net::HttpRequest request) {
+  net::asio::io_context context;
+  net::HttpClient client(context);
+  std::promise<Result<net::HttpResponse>> answer;
+  net::asio::co_spawn(
+      context,
+      [&]() -> net::asio::awaitable<void> {
+        answer.set_value(
+            co_await client.Call(address, std::move(request), kCallPatience));
+      },
+      net::asio::detached);
+  context.run();
+  return answer.get_future().get();
+}
+
+unsigned PlatformCell::Call(int entry, const std::string& method,
+                            const std::string& path, const std::string& body) {
+  net::HttpRequest request;
+  request.method = method;
+  request.target = path;
+  request.headers["Host"] = "jobs.example";
+  request.body = body;
+  const auto answer = CallOnce(addresses_[entry].front, std::move(request));
+  return IsOk(answer) ? ValueOf(answer).status : 0;
+}
+
+bool PlatformCell::IsReady(int entry) {
+  net::HttpRequest request;
+  request.target = "/-/ready";
+  const auto answer = CallOnce(addresses_[entry].ready, std::move(request));
+  return IsOk(answer) && ValueOf(answer).status == 200;
+}
+
+void PlatformCell::WaitUntilReady() {
+  for (int i = 0; i < kPolls; ++i) {
+    bool ready = true;
+    for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
+      ready = ready && IsReady(static_cast<int>(entry));
+    }
+    if (ready) return;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  throw std::runtime_error("not all entries are ready");
+}
+
+unsigned PlatformCell::Submit(int entry, const std::string& job, int count,
+                              const std::string& payload) {
+  const Json body = {
+      {"spec", payload},
+      {"steps", {{{"count", count}, {"cpu", 1'000}, {"mem_mb", 100}}}}};
+  return Call(entry, "POST", "/q/" + job, body.dump());
+}
+
+std::string PlatformCell::StateOf(int entry, const std::string& job) {
+  net::HttpRequest request;
+  request.target = "/q/" + job;
+  request.headers["Host"] = "jobs.example";
+  const auto answer = CallOnce(addresses_[entry].front, std::move(request));
+  if (!IsOk(answer)) return "";
+  const Json body = Json::parse(ValueOf(answer).body, nullptr, false);
+  return body.is_object() ? body.value("state", "") : "";
+}
+
+bool PlatformCell::WaitForState(int entry, const std::string& job,
+                                const std::string& state, Millis patience) {
+  const SystemClock clock;
+  const Millis until = clock.Monotonic() + patience;
+  while (clock.Monotonic() < until) {
+    if (StateOf(entry, job) == state) return true;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return false;
+}
+
+std::string PlatformCell::LogOf(int entry) const {
+  std::ifstream file(folder_ + "/entry-" + std::to_string(entry) + ".log");
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+int PlatformCell::OwnerOf() {
+  for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
+    const std::string log = LogOf(static_cast<int>(entry));
+    const auto ready = log.rfind("event=owner_ready");
+    const auto ended = log.rfind("event=ownership_ended");
+    if (ready == std::string::npos) continue;
+    if (ended == std::string::npos || ended < ready) {
+      return static_cast<int>(entry);
+    }
+  }
+  return -1;
+}
+
+}  // namespace basilspur::system_test
