--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,7 +3,7 @@
 # the coroutines of GCC 12, so sources that use Boost.Asio are left out.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-folders=(base records state lease interference placement routing resend metrics settings
+folders=(base records state jobs lease interference placement routing resend metrics settings
   replica link operators)
 files=(src/app/*/*.cc src/tools/basilspur_bench/*.cc)
 for folder in "${folders[@]}"; do files+=(src/libs/"$folder"/*.cc); done
--- a/src/libs/entry/directory_watcher.cc
+++ b/src/libs/entry/directory_watcher.cc
@@ -13,8 +13,7 @@
 static constexpr Millis kStopPollInterval(100);
 
 std::vector<records::RecordBody> CompareWithList(
-    const state::ClusterState& state,
-    const std::vector<platform::ListedVm>& list,
+    const state::ClusterState& state, const std::vector<infra::ListedVm>& list,
     std::map<std::string, int>& absences) {
   std::vector<records::RecordBody> changes;
   if (list.empty()) return changes;
@@ -42,7 +41,7 @@
 }
 
 DirectoryWatcher::DirectoryWatcher(
-    records::EntryRef self, std::unique_ptr<platform::VmDirectory> directory,
+    records::EntryRef self, std::unique_ptr<infra::VmDirectory> directory,
     Millis interval, const replica::Replica& replica,
     replica::LogWriter& writer, const Presence& presence)
     : self_(std::move(self)),
@@ -84,7 +83,7 @@
 }
 
 void DirectoryWatcher::Step() {
-  const Result<std::vector<platform::ListedVm>> list = directory_->List();
+  const Result<std::vector<infra::ListedVm>> list = directory_->List();
   if (!IsOk(list)) {
     kLog.Warning("No list of VMs. " + ErrorOf(list).ToString() + ".");
     return;
--- a/src/libs/entry/directory_watcher.h
+++ b/src/libs/entry/directory_watcher.h
@@ -10,7 +10,7 @@
 
 #include "base/clock.h"
 #include "entry/presence.h"
-#include "platform/vm_directory.h"
+#include "infra/vm_directory.h"
 #include "replica/log_writer.h"
 #include "replica/replica.h"
 
@@ -21,8 +21,7 @@
 /// is gone after two. An empty list counts as no list.
 /// Thread safety: any thread, while the state does not change.
 std::vector<records::RecordBody> CompareWithList(
-    const state::ClusterState& state,
-    const std::vector<platform::ListedVm>& list,
+    const state::ClusterState& state, const std::vector<infra::ListedVm>& list,
     std::map<std::string, int>& absences);
 
 /// Reads the platform's list of VMs and records what changed; on a thread of
@@ -33,7 +32,7 @@
  public:
   /// Precondition: all references outlive the object.
   DirectoryWatcher(records::EntryRef self,
-                   std::unique_ptr<platform::VmDirectory> directory,
+                   std::unique_ptr<infra::VmDirectory> directory,
                    Millis interval, const replica::Replica& replica,
                    replica::LogWriter& writer, const Presence& presence);
   ~DirectoryWatcher();
@@ -49,7 +48,7 @@
   void Step();
 
   const records::EntryRef self_;
-  std::unique_ptr<platform::VmDirectory> directory_;
+  std::unique_ptr<infra::VmDirectory> directory_;
   const Millis interval_;
   const replica::Replica& replica_;
   replica::LogWriter& writer_;
--- a/src/libs/entry/entry.cc
+++ b/src/libs/entry/entry.cc
@@ -18,13 +18,13 @@
 #include "entry/status_server.h"
 #include "entry/steward.h"
 #include "front/front.h"
+#include "infra/http_infra.h"
 #include "interference/interference_model.h"
 #include "interference/profile.h"
 #include "link/peer_mesh.h"
 #include "metrics/registry.h"
 #include "operators/operator_service.h"
 #include "placement/interference_scorer.h"
-#include "platform/http_platform.h"
 #include "replica/incarnation.h"
 #include "replica/log_writer.h"
 #include "replica/replica.h"
@@ -81,9 +81,9 @@
   bool IsFenced() const { return presence_ && !presence_->SelfIsLive(); }
 
  private:
-  std::unique_ptr<platform::LogService> MakeLog() const {
-    return platform::MakeHttpLogService(settings_.log_address,
-                                        Millis(settings_.platform_timeout_ms));
+  std::unique_ptr<infra::LogService> MakeLog() const {
+    return infra::MakeHttpLogService(settings_.log_address,
+                                     Millis(settings_.platform_timeout_ms));
   }
 
   /// Builds the parts, once the log has told the next incarnation.
@@ -120,8 +120,8 @@
                                          MakeScorer(), metrics_, clock_);
     watcher_ = std::make_unique<DirectoryWatcher>(
         self_,
-        platform::MakeHttpVmDirectory(settings_.vms_address,
-                                      Millis(settings_.platform_timeout_ms)),
+        infra::MakeHttpVmDirectory(settings_.vms_address,
+                                   Millis(settings_.platform_timeout_ms)),
         Millis(settings_.vms_interval_ms), replica_, *writer_, *presence_);
     snapshotter_ = std::make_unique<Snapshotter>(
         self_, settings_.cell, MakeLog(),
--- a/src/libs/entry/lease_keeper.cc
+++ b/src/libs/entry/lease_keeper.cc
@@ -10,12 +10,12 @@
 #include "base/logging.h"
 #include "entry/presence.h"
 #include "entry/pressure_keeper.h"
+#include "infra/http_infra.h"
 #include "interference/mix_builder.h"
 #include "lease/pause_detector.h"
 #include "lease/vm_supervisor.h"
 #include "lease/vm_view.h"
 #include "net/asio.h"
-#include "platform/http_platform.h"
 
 namespace basilspur::entry {
 
@@ -41,7 +41,7 @@
         pressure_(std::move(pressure)),
         clock_(clock),
         pause_detector_(settings.pause_limit),
-        workers_(platform::MakeHttpWorkerService(io_, worker_timeout)),
+        workers_(infra::MakeHttpWorkerService(io_, worker_timeout)),
         renewals_(metrics.Counter("basilspur_lease_renewals_total")),
         failures_(metrics.Counter("basilspur_lease_renewal_failures_total")),
         owned_(metrics.Gauge("basilspur_vms_owned")),
@@ -151,16 +151,16 @@
     const auto request = supervisor.NextSync(view, now, fresh);
     if (!request) return;
     renewals_ += static_cast<std::int64_t>(request->orders.size());
-    platform::SyncRequest message = *request;
+    infra::SyncRequest message = *request;
     message.sender = self_;
     workers_->Sync(view.worker_address, message,
-                   [this, vm = view.vm](Result<platform::SyncReply> reply) {
+                   [this, vm = view.vm](Result<infra::SyncReply> reply) {
                      OnSyncDone(vm, reply);
                    });
   }
 
   void OnSyncDone(const std::string& vm,
-                  const Result<platform::SyncReply>& reply) {
+                  const Result<infra::SyncReply>& reply) {
     if (!IsOk(reply)) {
       ++failures_;
       kLog.Warning("Worker of VM " + vm + " gave no answer. " +
@@ -175,7 +175,7 @@
     AnswerPressure(view->second, ValueOf(reply));
   }
 
-  void AnswerPressure(VmView& view, const platform::SyncReply& reply) {
+  void AnswerPressure(VmView& view, const infra::SyncReply& reply) {
     const auto evicted =
         pressure_->OnReports(view, reply.reports, clock_.Monotonic());
     MarkThrottled(view);
@@ -205,7 +205,7 @@
   const Clock& clock_;
   lease::PauseDetector pause_detector_;
   asio::io_context io_{1};
-  std::unique_ptr<platform::WorkerService> workers_;
+  std::unique_ptr<infra::WorkerService> workers_;
   metrics::Number& renewals_;
   metrics::Number& failures_;
   metrics::Number& owned_;
--- a/src/libs/entry/pressure_keeper.cc
+++ b/src/libs/entry/pressure_keeper.cc
@@ -34,7 +34,7 @@
 }
 
 std::optional<records::RunRef> PressureKeeper::OnReports(
-    const lease::VmView& view, std::span<const platform::RunReport> reports,
+    const lease::VmView& view, std::span<const infra::RunReport> reports,
     Millis now) {
   const auto report =
       std::find_if(reports.begin(), reports.end(),
--- a/src/libs/entry/pressure_keeper.h
+++ b/src/libs/entry/pressure_keeper.h
@@ -7,13 +7,13 @@
 #include <string>
 
 #include "base/clock.h"
+#include "infra/worker_messages.h"
 #include "interference/interference_model.h"
 #include "interference/pressure_monitor.h"
 #include "interference/profile.h"
 #include "lease/vm_view.h"
 #include "link/messages.h"
 #include "metrics/registry.h"
-#include "platform/worker_messages.h"
 
 namespace basilspur::entry {
 
@@ -37,7 +37,7 @@
   /// Takes in a worker's reports. Returns the run to evict now, if there is
   /// one. Precondition: OnView() was called for the VM.
   std::optional<records::RunRef> OnReports(
-      const lease::VmView& view, std::span<const platform::RunReport> reports,
+      const lease::VmView& view, std::span<const infra::RunReport> reports,
       Millis now);
 
   bool IsThrottled(const std::string& vm, const records::RunRef& run) const;
--- a/src/libs/entry/snapshotter.cc
+++ b/src/libs/entry/snapshotter.cc
@@ -12,7 +12,7 @@
 static constexpr Millis kStepInterval(100);
 
 Snapshotter::Snapshotter(records::EntryRef self, std::string cell,
-                         std::unique_ptr<platform::LogService> log,
+                         std::unique_ptr<infra::LogService> log,
                          const SnapshotSchedule& schedule,
                          const replica::Replica& replica,
                          replica::LogWriter& writer, const Presence& presence,
--- a/src/libs/entry/snapshotter.h
+++ b/src/libs/entry/snapshotter.h
@@ -8,7 +8,7 @@
 
 #include "base/clock.h"
 #include "entry/presence.h"
-#include "platform/log_service.h"
+#include "infra/log_service.h"
 #include "replica/log_writer.h"
 #include "replica/replica.h"
 
@@ -28,7 +28,7 @@
  public:
   /// Precondition: all references outlive the object.
   Snapshotter(records::EntryRef self, std::string cell,
-              std::unique_ptr<platform::LogService> log,
+              std::unique_ptr<infra::LogService> log,
               const SnapshotSchedule& schedule, const replica::Replica& replica,
               replica::LogWriter& writer, const Presence& presence,
               const Clock& clock);
@@ -47,7 +47,7 @@
 
   const records::EntryRef self_;
   const std::string cell_;
-  std::unique_ptr<platform::LogService> log_;
+  std::unique_ptr<infra::LogService> log_;
   const SnapshotSchedule schedule_;
   const replica::Replica& replica_;
   replica::LogWriter& writer_;
--- a/src/libs/platform/http_platform.cc
+++ b/src/libs/infra/http_infra.cc
@@ -1,11 +1,11 @@
-#include "platform/http_platform.h"
+#include "infra/http_infra.h"
 
 #include <optional>
 #include <utility>
 
 #include "net/http_client.h"
 
-namespace basilspur::platform {
+namespace basilspur::infra {
 
 namespace asio = net::asio;
 using net::HttpClient;
@@ -149,4 +149,4 @@
   return std::make_unique<HttpWorkerService>(context, timeout);
 }
 
-}  // namespace basilspur::platform
+}  // namespace basilspur::infra
--- a/src/libs/platform/http_platform.h
+++ b/src/libs/infra/http_infra.h
@@ -1,16 +1,16 @@
-#ifndef BASILSPUR_PLATFORM_HTTP_PLATFORM_H_
-#define BASILSPUR_PLATFORM_HTTP_PLATFORM_H_
+#ifndef BASILSPUR_INFRA_HTTP_INFRA_H_
+#define BASILSPUR_INFRA_HTTP_INFRA_H_
 
 #include <memory>
 #include <string>
 
 #include "base/clock.h"
+#include "infra/log_service.h"
+#include "infra/vm_directory.h"
+#include "infra/worker_service.h"
 #include "net/asio.h"
-#include "platform/log_service.h"
-#include "platform/vm_directory.h"
-#include "platform/worker_service.h"
 
-namespace basilspur::platform {
+namespace basilspur::infra {
 
 /// The adapter to a log service that speaks HTTP with CBOR bodies.
 /// `timeout` bounds each call, in milliseconds.
@@ -26,6 +26,6 @@
 std::unique_ptr<WorkerService> MakeHttpWorkerService(
     net::asio::io_context& context, Millis timeout);
 
-}  // namespace basilspur::platform
+}  // namespace basilspur::infra
 
-#endif  // BASILSPUR_PLATFORM_HTTP_PLATFORM_H_
+#endif  // BASILSPUR_INFRA_HTTP_INFRA_H_
--- a/src/libs/platform/log_service.h
+++ b/src/libs/infra/log_service.h
@@ -1,5 +1,5 @@
-#ifndef BASILSPUR_PLATFORM_LOG_SERVICE_H_
-#define BASILSPUR_PLATFORM_LOG_SERVICE_H_
+#ifndef BASILSPUR_INFRA_LOG_SERVICE_H_
+#define BASILSPUR_INFRA_LOG_SERVICE_H_
 
 #include <cstdint>
 #include <span>
@@ -10,7 +10,7 @@
 #include "base/result.h"
 #include "records/codec.h"
 
-namespace basilspur::platform {
+namespace basilspur::infra {
 
 /// One entry of a stream of the log.
 struct LogEntry {
@@ -53,6 +53,6 @@
                                 Millis wait) = 0;
 };
 
-}  // namespace basilspur::platform
+}  // namespace basilspur::infra
 
-#endif  // BASILSPUR_PLATFORM_LOG_SERVICE_H_
+#endif  // BASILSPUR_INFRA_LOG_SERVICE_H_
--- a/src/libs/platform/vm_directory.h
+++ b/src/libs/infra/vm_directory.h
@@ -1,12 +1,12 @@
-#ifndef BASILSPUR_PLATFORM_VM_DIRECTORY_H_
-#define BASILSPUR_PLATFORM_VM_DIRECTORY_H_
+#ifndef BASILSPUR_INFRA_VM_DIRECTORY_H_
+#define BASILSPUR_INFRA_VM_DIRECTORY_H_
 
 #include <vector>
 
 #include "base/result.h"
 #include "records/specs.h"
 
-namespace basilspur::platform {
+namespace basilspur::infra {
 
 /// A VM on the platform's list.
 struct ListedVm {
@@ -30,6 +30,6 @@
   virtual Result<std::vector<ListedVm>> List() = 0;
 };
 
-}  // namespace basilspur::platform
+}  // namespace basilspur::infra
 
-#endif  // BASILSPUR_PLATFORM_VM_DIRECTORY_H_
+#endif  // BASILSPUR_INFRA_VM_DIRECTORY_H_
--- a/src/libs/platform/worker_messages.h
+++ b/src/libs/infra/worker_messages.h
@@ -1,5 +1,5 @@
-#ifndef BASILSPUR_PLATFORM_WORKER_MESSAGES_H_
-#define BASILSPUR_PLATFORM_WORKER_MESSAGES_H_
+#ifndef BASILSPUR_INFRA_WORKER_MESSAGES_H_
+#define BASILSPUR_INFRA_WORKER_MESSAGES_H_
 
 #include <cstdint>
 #include <string>
@@ -7,7 +7,7 @@
 
 #include "records/specs.h"
 
-namespace basilspur::platform {
+namespace basilspur::infra {
 
 enum class RunDirective { kRun, kThrottle, kStop };
 
@@ -76,6 +76,6 @@
   }
 };
 
-}  // namespace basilspur::platform
+}  // namespace basilspur::infra
 
-#endif  // BASILSPUR_PLATFORM_WORKER_MESSAGES_H_
+#endif  // BASILSPUR_INFRA_WORKER_MESSAGES_H_
--- a/src/libs/platform/worker_service.h
+++ b/src/libs/infra/worker_service.h
@@ -1,13 +1,13 @@
-#ifndef BASILSPUR_PLATFORM_WORKER_SERVICE_H_
-#define BASILSPUR_PLATFORM_WORKER_SERVICE_H_
+#ifndef BASILSPUR_INFRA_WORKER_SERVICE_H_
+#define BASILSPUR_INFRA_WORKER_SERVICE_H_
 
 #include <functional>
 #include <string>
 
 #include "base/result.h"
-#include "platform/worker_messages.h"
+#include "infra/worker_messages.h"
 
-namespace basilspur::platform {
+namespace basilspur::infra {
 
 /// The platform's workers.
 ///
@@ -25,6 +25,6 @@
                     Callback done) = 0;
 };
 
-}  // namespace basilspur::platform
+}  // namespace basilspur::infra
 
-#endif  // BASILSPUR_PLATFORM_WORKER_SERVICE_H_
+#endif  // BASILSPUR_INFRA_WORKER_SERVICE_H_
--- a/src/libs/lease/vm_supervisor.cc
+++ b/src/libs/lease/vm_supervisor.cc
@@ -5,11 +5,11 @@
 
 namespace basilspur::lease {
 
-using platform::RunDirective;
-using platform::RunReport;
-using platform::RunStatus;
-using platform::SyncReply;
-using platform::SyncRequest;
+using infra::RunDirective;
+using infra::RunReport;
+using infra::RunStatus;
+using infra::SyncReply;
+using infra::SyncRequest;
 using records::RecordBody;
 using records::RunOutcome;
 using records::RunRef;
--- a/src/libs/lease/vm_supervisor.h
+++ b/src/libs/lease/vm_supervisor.h
@@ -9,9 +9,9 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "infra/worker_messages.h"
 #include "lease/lease_settings.h"
 #include "lease/vm_view.h"
-#include "platform/worker_messages.h"
 #include "records/record.h"
 
 namespace basilspur::lease {
@@ -29,19 +29,19 @@
   /// The message to send now, if one is due. At most one is in flight; the
   /// caller reports its end with OnSyncDone(). `fresh` is false while the
   /// process was paused and has not read the log since.
-  std::optional<platform::SyncRequest> NextSync(const VmView& view, Millis now,
-                                                bool fresh);
+  std::optional<infra::SyncRequest> NextSync(const VmView& view, Millis now,
+                                             bool fresh);
 
   /// The message sent last has ended: answered, failed, or given up with its
   /// connection closed, so that it can't reach the worker any more.
-  void OnSyncDone(const Result<platform::SyncReply>& reply, Millis now);
+  void OnSyncDone(const Result<infra::SyncReply>& reply, Millis now);
 
   /// The records to append now. The same record may be returned again until
   /// the view shows its effect; replay voids repeats.
   std::vector<records::RecordBody> NextRecords(const VmView& view, Millis now);
 
   /// The newest reports of the worker; for usage and slowdown.
-  const std::map<records::RunRef, platform::RunReport>& Reports() const {
+  const std::map<records::RunRef, infra::RunReport>& Reports() const {
     return reports_;
   }
 
@@ -59,12 +59,12 @@
 
   /// A standby renews what runs while the owner is silent. Its orders carry no
   /// job, so they start nothing.
-  std::optional<platform::SyncRequest> NextStandbySync(const VmView& view,
-                                                       Millis now);
+  std::optional<infra::SyncRequest> NextStandbySync(const VmView& view,
+                                                    Millis now);
   bool IsUnreachable(Millis now) const;
   bool MustKeepQuiet(const VmView& view, Millis now) const;
   bool HasNews(const VmView& view, bool fresh) const;
-  platform::SyncRequest MakeSync(const VmView& view, bool fresh);
+  infra::SyncRequest MakeSync(const VmView& view, bool fresh);
   void RecordEnds(const VmView& view, Millis now,
                   std::vector<records::RecordBody>& out);
   void RecordUsage(const VmView& view, Millis now,
@@ -85,7 +85,7 @@
   std::optional<Millis> sole_since_;
   std::int64_t sole_version_ = 0;
   std::optional<std::int64_t> promised_version_;
-  std::map<records::RunRef, platform::RunReport> reports_;
+  std::map<records::RunRef, infra::RunReport> reports_;
   std::map<records::RunRef, bool> ordered_stop_;
   std::optional<Millis> reachability_recorded_;
   std::map<records::RunRef, Millis> recorded_at_;
--- a/src/libs/replica/log_writer.cc
+++ b/src/libs/replica/log_writer.cc
@@ -17,9 +17,8 @@
 static constexpr Millis kJudgeWait(1'000);
 static constexpr Millis kRetryPause(200);
 
-LogWriter::LogWriter(std::unique_ptr<platform::LogService> log,
-                     std::string cell, records::EntryRef self,
-                     const Clock& clock)
+LogWriter::LogWriter(std::unique_ptr<infra::LogService> log, std::string cell,
+                     records::EntryRef self, const Clock& clock)
     : log_(std::move(log)),
       cell_(std::move(cell)),
       self_(std::move(self)),
--- a/src/libs/replica/log_writer.h
+++ b/src/libs/replica/log_writer.h
@@ -15,7 +15,7 @@
 #include "base/bounded_ring.h"
 #include "base/clock.h"
 #include "base/result.h"
-#include "platform/log_service.h"
+#include "infra/log_service.h"
 #include "records/record.h"
 #include "state/verdict.h"
 
@@ -32,7 +32,7 @@
   using Done = std::function<void(const state::Verdict&)>;
 
   /// Precondition: `clock` outlives the writer.
-  LogWriter(std::unique_ptr<platform::LogService> log, std::string cell,
+  LogWriter(std::unique_ptr<infra::LogService> log, std::string cell,
             records::EntryRef self, const Clock& clock);
   ~LogWriter();
 
@@ -69,7 +69,7 @@
   bool WaitUntilJudged(std::int64_t sequence, Millis wait);
   void PaceAppends();
 
-  std::unique_ptr<platform::LogService> log_;
+  std::unique_ptr<infra::LogService> log_;
   const std::string cell_;
   const records::EntryRef self_;
   const Clock& clock_;
--- a/src/libs/replica/replica.cc
+++ b/src/libs/replica/replica.cc
@@ -12,7 +12,7 @@
 static constexpr Millis kFollowWait(500);
 static constexpr Millis kRetryPause(200);
 
-Replica::Replica(std::unique_ptr<platform::LogService> log, std::string cell,
+Replica::Replica(std::unique_ptr<infra::LogService> log, std::string cell,
                  const Clock& clock)
     : log_(std::move(log)), cell_(std::move(cell)), clock_(clock) {}
 
@@ -39,10 +39,10 @@
 Result<std::int64_t> Replica::ReadSnapshots(SnapshotAssembler& assembler) {
   std::int64_t next = 0;
   for (;;) {
-    const Result<platform::LogSlice> read =
+    const Result<infra::LogSlice> read =
         log_->Read(SnapshotStream(cell_), next, {});
     if (!IsOk(read)) return ErrorOf(read);
-    const platform::LogSlice& slice = ValueOf(read);
+    const infra::LogSlice& slice = ValueOf(read);
     for (const auto& entry : slice.entries) {
       const auto chunk = records::Decode<records::SnapshotChunk>(entry.payload);
       if (IsOk(chunk)) assembler.Add(ValueOf(chunk));
@@ -67,9 +67,9 @@
 Status Replica::Poll(Millis wait) {
   const Millis began = clock_.Monotonic();
   const std::int64_t next = Read([](const auto& s) { return s.Offset(); }) + 1;
-  Result<platform::LogSlice> read = log_->Read(cell_, next, wait);
+  Result<infra::LogSlice> read = log_->Read(cell_, next, wait);
   if (!IsOk(read)) return ErrorOf(read);
-  const platform::LogSlice& slice = ValueOf(read);
+  const infra::LogSlice& slice = ValueOf(read);
   if (slice.end_offset < next) {
     return Error{ErrorCode::kCorrupt, "follow", cell_,
                  "the log ends before what was already read"};
@@ -91,7 +91,7 @@
   return {};
 }
 
-void Replica::TakeIn(const platform::LogEntry& entry) {
+void Replica::TakeIn(const infra::LogEntry& entry) {
   Result<records::RecordBatch> batch =
       records::Decode<records::RecordBatch>(entry.payload);
   if (!IsOk(batch)) {
--- a/src/libs/replica/replica.h
+++ b/src/libs/replica/replica.h
@@ -12,7 +12,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
-#include "platform/log_service.h"
+#include "infra/log_service.h"
 #include "records/record.h"
 #include "state/cluster_state.h"
 
@@ -28,7 +28,7 @@
   using ChangeListener = std::function<void()>;
 
   /// Precondition: `clock` outlives the replica.
-  Replica(std::unique_ptr<platform::LogService> log, std::string cell,
+  Replica(std::unique_ptr<infra::LogService> log, std::string cell,
           const Clock& clock);
   ~Replica();
 
@@ -76,10 +76,10 @@
  private:
   Status LoadSnapshot(std::int64_t newer_than);
   Result<std::int64_t> ReadSnapshots(class SnapshotAssembler& assembler);
-  void TakeIn(const platform::LogEntry& entry);
+  void TakeIn(const infra::LogEntry& entry);
   void Follow();
 
-  std::unique_ptr<platform::LogService> log_;
+  std::unique_ptr<infra::LogService> log_;
   const std::string cell_;
   const Clock& clock_;
   std::vector<VerdictListener> verdict_listeners_;
--- a/src/tools/basilspur_slopes/main.cc
+++ b/src/tools/basilspur_slopes/main.cc
@@ -275,9 +275,9 @@
     supervisor.NextRecords(view, now);
     const auto request = supervisor.NextSync(view, now, true);
     if (!request) continue;
-    platform::SyncReply reply;
+    infra::SyncReply reply;
     for (const auto& order : request->orders) {
-      platform::RunReport report;
+      infra::RunReport report;
       report.run = order.run;
       report.checkpoint = "checkpoint-1";
       report.usage = view.runs[0].job.resources;
@@ -286,7 +286,7 @@
     request_bytes = records::Encode(*request).size();
     const records::Bytes encoded = records::Encode(reply);
     reply_bytes = encoded.size();
-    supervisor.OnSyncDone(records::Decode<platform::SyncReply>(encoded), now);
+    supervisor.OnSyncDone(records::Decode<infra::SyncReply>(encoded), now);
   }
   std::printf(
       "lease    runs %4d | request %6zu B  reply %6zu B | %7.1f us/renewal\n",
--- a/tests/auto/lease/vm_supervisor_test.cc
+++ b/tests/auto/lease/vm_supervisor_test.cc
@@ -3,11 +3,11 @@
 #include <catch2/catch.hpp>
 
 using namespace basilspur;  // NOLINT(google-build-using-namespace)
+using infra::RunDirective;
+using infra::RunStatus;
+using infra::SyncReply;
 using lease::VmSupervisor;
 using lease::VmView;
-using platform::RunDirective;
-using platform::RunStatus;
-using platform::SyncReply;
 using records::RunEnded;
 
 static constexpr Millis kStart(1'000'000);
@@ -25,7 +25,7 @@
 }
 
 static SyncReply MakeReply(RunStatus status) {
-  platform::RunReport report;
+  infra::RunReport report;
   report.run = {"job", 1};
   report.status = status;
   return {{report}};
--- a/tests/auto/records/codec_test.cc
+++ b/tests/auto/records/codec_test.cc
@@ -4,8 +4,8 @@
 #include <iostream>
 
 #include "base/random.h"
+#include "infra/worker_messages.h"
 #include "link/messages.h"
-#include "platform/worker_messages.h"
 #include "records/record.h"
 
 using namespace basilspur;  // NOLINT(google-build-using-namespace)
@@ -51,8 +51,8 @@
     records::Decode<records::RecordBatch>(bytes);
     records::Decode<records::SnapshotChunk>(bytes);
     records::Decode<link::Message>(bytes);
-    records::Decode<platform::SyncRequest>(bytes);
-    records::Decode<platform::SyncReply>(bytes);
+    records::Decode<infra::SyncRequest>(bytes);
+    records::Decode<infra::SyncReply>(bytes);
   }
   SUCCEED();
 }
--- a/tests/fakes/fake_log.cc
+++ b/tests/fakes/fake_log.cc
@@ -23,10 +23,10 @@
   return offset;
 }
 
-platform::LogSlice FakeLogStore::Read(const std::string& stream,
-                                      std::int64_t from) const {
+infra::LogSlice FakeLogStore::Read(const std::string& stream,
+                                   std::int64_t from) const {
   const std::lock_guard lock(mutex_);
-  platform::LogSlice slice;
+  infra::LogSlice slice;
   const auto found = streams_.find(stream);
   if (found == streams_.end()) return slice;
   const Stream& source = found->second;
@@ -67,8 +67,8 @@
   return offset;
 }
 
-Result<platform::LogSlice> FakeLog::Read(std::string_view stream,
-                                         std::int64_t from, Millis) {
+Result<infra::LogSlice> FakeLog::Read(std::string_view stream,
+                                      std::int64_t from, Millis) {
   if (store_.Faults().down) {
     return Error{ErrorCode::kUnavailable, "read", "fake-log", "down"};
   }
--- a/tests/fakes/fake_log.h
+++ b/tests/fakes/fake_log.h
@@ -7,7 +7,7 @@
 #include <mutex>
 #include <string>
 
-#include "platform/log_service.h"
+#include "infra/log_service.h"
 
 namespace basilspur::fakes {
 
@@ -22,7 +22,7 @@
 class FakeLogStore {
  public:
   std::int64_t Append(const std::string& stream, records::Bytes payload);
-  platform::LogSlice Read(const std::string& stream, std::int64_t from) const;
+  infra::LogSlice Read(const std::string& stream, std::int64_t from) const;
 
   LogFaults Faults() const;
   void SetFaults(const LogFaults& faults);
@@ -39,15 +39,15 @@
 };
 
 /// A client of a FakeLogStore in the same process.
-class FakeLog final : public platform::LogService {
+class FakeLog final : public infra::LogService {
  public:
   /// Precondition: `store` outlives the log.
   explicit FakeLog(FakeLogStore& store) : store_(store) {}
 
   Result<std::int64_t> Append(std::string_view stream,
                               std::span<const std::uint8_t> payload) override;
-  Result<platform::LogSlice> Read(std::string_view stream, std::int64_t from,
-                                  Millis wait) override;
+  Result<infra::LogSlice> Read(std::string_view stream, std::int64_t from,
+                               Millis wait) override;
 
  private:
   FakeLogStore& store_;
--- a/tests/fakes/fake_worker.cc
+++ b/tests/fakes/fake_worker.cc
@@ -5,8 +5,8 @@
 
 namespace basilspur::fakes {
 
-using platform::RunDirective;
-using platform::RunStatus;
+using infra::RunDirective;
+using infra::RunStatus;
 
 struct Command {
   std::string verb;
@@ -38,8 +38,7 @@
   return usage;
 }
 
-void FakeWorker::Start(const platform::RunOrder& order, Millis now,
-                       Millis lease) {
+void FakeWorker::Start(const infra::RunOrder& order, Millis now, Millis lease) {
   Run& run = runs_[order.run];
   run.job = order.job;
   run.last_step = now;
@@ -75,8 +74,8 @@
   }
 }
 
-platform::SyncReply FakeWorker::Sync(const platform::SyncRequest& request,
-                                     Millis now) {
+infra::SyncReply FakeWorker::Sync(const infra::SyncRequest& request,
+                                  Millis now) {
   Step(now);
   for (const auto& run : request.forget) runs_.erase(run);
   for (const auto& order : request.orders) {
@@ -107,9 +106,9 @@
     }
   }
   const double slowdown = Slowdown();
-  platform::SyncReply reply;
+  infra::SyncReply reply;
   for (const auto& order : request.orders) {
-    platform::RunReport report;
+    infra::RunReport report;
     report.run = order.run;
     report.status = RunStatus::kUnknown;
     if (!runs_.contains(order.run)) {
--- a/tests/fakes/fake_worker.h
+++ b/tests/fakes/fake_worker.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "platform/worker_messages.h"
+#include "infra/worker_messages.h"
 
 namespace basilspur::fakes {
 
@@ -35,7 +35,7 @@
   /// Brings the runs up to `now`.
   void Step(Millis now);
 
-  platform::SyncReply Sync(const platform::SyncRequest& request, Millis now);
+  infra::SyncReply Sync(const infra::SyncRequest& request, Millis now);
 
   /// All runs end without a word, as when the VM dies.
   void Crash(Millis now);
@@ -49,7 +49,7 @@
  private:
   struct Run {
     records::JobSpec job;
-    platform::RunStatus status = platform::RunStatus::kRunning;
+    infra::RunStatus status = infra::RunStatus::kRunning;
     Millis last_step;
     Millis lease_until;
     std::int64_t progress_ms = 0;
@@ -58,8 +58,8 @@
   };
 
   double Slowdown() const;
-  void Start(const platform::RunOrder& order, Millis now, Millis lease);
-  void End(const records::RunRef& ref, Run& run, platform::RunStatus status,
+  void Start(const infra::RunOrder& order, Millis now, Millis lease);
+  void End(const records::RunRef& ref, Run& run, infra::RunStatus status,
            const char* event, Millis at);
 
   bool broken_ = false;
--- a/tests/fakes/sim_entry.cc
+++ b/tests/fakes/sim_entry.cc
@@ -14,8 +14,8 @@
 static constexpr char kCell[] = "cell-0";
 static constexpr Millis kMessageTimeout(2'000);
 
-std::vector<platform::ListedVm> SimWorld::List() const {
-  std::vector<platform::ListedVm> list;
+std::vector<infra::ListedVm> SimWorld::List() const {
+  std::vector<infra::ListedVm> list;
   for (const auto& [name, vm] : vms) {
     if (vm.listed) list.push_back({vm.spec, false});
   }
--- a/tests/fakes/sim_entry.h
+++ b/tests/fakes/sim_entry.h
@@ -14,10 +14,10 @@
 #include "fakes/fake_clock.h"
 #include "fakes/fake_log.h"
 #include "fakes/fake_worker.h"
+#include "infra/vm_directory.h"
 #include "lease/pause_detector.h"
 #include "lease/vm_supervisor.h"
 #include "placement/planner.h"
-#include "platform/vm_directory.h"
 #include "replica/replica.h"
 
 namespace basilspur::fakes {
@@ -40,7 +40,7 @@
   Random random;
 
   explicit SimWorld(std::uint64_t seed) : random(seed) {}
-  std::vector<platform::ListedVm> List() const;
+  std::vector<infra::ListedVm> List() const;
 };
 
 /// The product's decisions of one entry, stepped by hand: replay, claims,
@@ -70,11 +70,11 @@
  private:
   struct Message {
     std::string vm;
-    platform::SyncRequest request;
+    infra::SyncRequest request;
     Millis deliver_at;
     Millis give_up_at;
     bool sent = false;
-    std::optional<platform::SyncReply> reply;
+    std::optional<infra::SyncReply> reply;
     bool reply_lost = false;
   };
 
--- a/tests/standins/standin_platform.cc
+++ b/tests/standins/standin_platform.cc
@@ -4,16 +4,16 @@
 #include <string>
 
 #include "fakes/fake_log.h"
-#include "platform/vm_directory.h"
+#include "infra/vm_directory.h"
 #include "records/codec.h"
 #include "standins/query.h"
 #include "standins/run_standin.h"
 
 using basilspur::Millis;
 using basilspur::fakes::FakeLogStore;
+using basilspur::infra::ListedVm;
 using basilspur::net::HttpRequest;
 using basilspur::net::HttpResponse;
-using basilspur::platform::ListedVm;
 using basilspur::records::Bytes;
 using basilspur::standins::Query;
 namespace asio = basilspur::net::asio;
--- a/tests/standins/standin_worker.cc
+++ b/tests/standins/standin_worker.cc
@@ -11,9 +11,9 @@
 using basilspur::Millis;
 using basilspur::SystemClock;
 using basilspur::fakes::FakeWorker;
+using basilspur::infra::SyncRequest;
 using basilspur::net::HttpRequest;
 using basilspur::net::HttpResponse;
-using basilspur::platform::SyncRequest;
 namespace asio = basilspur::net::asio;
 namespace records = basilspur::records;
 
