--- a/src/libs/base/logging.cc
+++ b/src/libs/base/logging.cc
@@ -51,7 +51,7 @@
 void InitLogging(LogLevel level) {
   log4cplus::initialize();
   log4cplus::helpers::SharedObjectPtr<log4cplus::Appender> appender(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+      new log4cplus::ConsoleAppender(/*logToStdErr=*/false,
                                      /*immediateFlush=*/true));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %c: %m%n"));
--- a/src/libs/cell/election.cc
+++ b/src/libs/cell/election.cc
@@ -68,7 +68,7 @@
 void Election::Draw(int owned, Millis now) {
   const auto spread = static_cast<std::uint64_t>(settings_.spread.count);
   run_at_ = now + Millis(static_cast<std::int64_t>(random_.Below(spread))) +
-            settings_.burden * owned;
+            settings_.burden * owned + settings_.handicap;
 }
 
 bool Election::ShouldRun(int owned, Millis now) {
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -17,6 +17,7 @@
   Millis silence{2'200};    ///< Without one, until others step in.
   Millis spread{250};       ///< Candidates wait a random part of this.
   Millis burden{150};       ///< And this for each cell that they own.
+  Millis handicap{0};       ///< And this, on a slow machine.
   Millis fresh{1'500};      ///< Since a renewal, to speak for the cell.
   Millis orphaned{12'000};  ///< Without a renewal, to renew VMs' leases.
 };
--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -101,7 +101,7 @@
 }
 
 void Node::OnListed(const jobs::VmListing& listing) {
-  if (vms_.empty()) first_vm_ = clock_.Monotonic();
+  if (!vms_.contains(listing.id)) newest_vm_ = clock_.Monotonic();
   vms_[listing.id] = listing;
   if (layout_.cells == 0) return;
   const auto& member = members_[layout_.CellOfRack(listing.rack)];
@@ -124,6 +124,17 @@
                     [](const auto& member) { return member->Owns(); }));
 }
 
+std::map<int, jobs::CellSummary> Node::Summaries() const {
+  std::map<int, jobs::CellSummary> summaries;
+  for (std::size_t cell = 0; cell < members_.size(); ++cell) {
+    const CellOwner* owner = members_[cell]->Owner();
+    if (!owner || !owner->IsReady()) continue;
+    summaries[static_cast<int>(cell)] =
+        owner->State().Summary(clock_.Monotonic());
+  }
+  return summaries;
+}
+
 net::asio::awaitable<void> Node::Run() {
   for (;;) {
     co_await net::Sleep(settings_.tick);
@@ -133,7 +144,7 @@
     }
     if (layout_.cells > 0 || layout_end_ < 0 || writing_layout_) continue;
     FollowDirectory();
-    const bool settled = !vms_.empty() && clock_.Monotonic() - first_vm_ >=
+    const bool settled = !vms_.empty() && clock_.Monotonic() - newest_vm_ >=
                                               settings_.layout_wait;
     if (!settled || catalog_.version < 0) continue;
     writing_layout_ = true;
--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -46,6 +46,8 @@
   const jobs::Catalog& Catalog() const { return catalog_; }
   /// Can answer callers.
   bool IsReady() const;
+  /// How the cells stand that this node owns, by cell.
+  std::map<int, jobs::CellSummary> Summaries() const;
   /// Answers within the request's patience. The request's cell is filled in.
   net::asio::awaitable<JobReply> Handle(JobRequest request);
   /// Answers a peer: only for cells that this node owns.
@@ -82,7 +84,7 @@
   std::int64_t layout_end_ = -1;
   std::shared_ptr<TopicWatcher> layout_watcher_;
   std::map<std::string, jobs::VmListing> vms_;
-  Millis first_vm_;
+  Millis newest_vm_;  ///< When the last one was listed for the first time.
   bool directory_started_ = false;
   bool writing_layout_ = false;
   bool leaving_ = false;
