--- a/src/libs/jobs/urgency.cc
+++ b/src/libs/jobs/urgency.cc
@@ -28,10 +28,6 @@
   const auto age = static_cast<double>((now - job.accepted_at).count);
   const double done_at = age + step * job.StepsLeft();
   if (done_at <= objective) return JobTier::kInTime;
-  // What has been begun is finished, or its work would be in vain.
-  if (job.begun && age <= kUsefulObjectives * objective) {
-    return JobTier::kInTime;
-  }
   return done_at <= kUsefulObjectives * objective ? JobTier::kLate
                                                   : JobTier::kOverdue;
 }
