--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -1,7 +1,5 @@
 #include "jobs/job.h"
 
-#include <algorithm>
-
 namespace basilspur::jobs {
 
 Occurrence* Job::FindOccurrence(int number) {
@@ -77,30 +75,6 @@
   return false;
 }
 
-bool Job::IsStepDone(std::size_t step) const {
-  if (occurrences.empty()) return false;
-  for (const Occurrence& occurrence : occurrences) {
-    const Step& state = occurrence.steps[step];
-    if (state.done < static_cast<int>(state.tasks.size())) return false;
-  }
-  return true;
-}
-
-int Job::LongestChain(bool undone_only) const {
-  std::vector<int> chain;  // A step stands after those it depends on.
-  int longest = 0;
-  for (std::size_t step = 0; step < record.spec.steps.size(); ++step) {
-    int before = 0;
-    for (const int earlier : record.spec.steps[step].after) {
-      before = std::max(before, chain[earlier]);
-    }
-    const bool counts = !undone_only || !IsStepDone(step);
-    chain.push_back(before + (counts ? 1 : 0));
-    longest = std::max(longest, chain.back());
-  }
-  return longest;
-}
-
 ProgressRecord Job::MakeProgress() const {
   ProgressRecord progress;
   progress.finished_occurrences = finished_occurrences;
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -66,13 +66,6 @@
   int steps_done = 0;
 };
 
-/// Whether a job can still be of use to its caller, in order of service.
-enum class JobTier {
-  kInTime,   ///< It can be done within its objective.
-  kLate,     ///< It will be late, but is still of some use.
-  kOverdue,  ///< It is too late to be of use; it is done all the same.
-};
-
 /// An accepted job. Thread safety: as its scheduler.
 struct Job {
   std::string id;
@@ -88,8 +81,6 @@
   bool progress_dirty = false;
   bool has_progress = false;  ///< The journal holds a progress record.
   Millis accepted_at;
-  JobTier tier = JobTier::kInTime;
-  int chain_steps = 1;  ///< Of its longest chain of dependencies.
 
   Task& At(const TaskRef& task);
   /// Null if the task is not part of a present occurrence.
@@ -101,16 +92,8 @@
   /// Adds an occurrence with all its tasks waiting.
   Occurrence& AddOccurrence(int number);
   bool HasRuns() const;
-  /// Steps of the longest chain of dependencies.
-  int ChainSteps() const { return LongestChain(/*undone_only=*/false); }
-  /// Those of them that are not done yet.
-  int StepsLeft() const { return LongestChain(/*undone_only=*/true); }
   ProgressRecord MakeProgress() const;
   void ApplyProgress(const ProgressRecord& progress);
-
- private:
-  bool IsStepDone(std::size_t step) const;
-  int LongestChain(bool undone_only) const;
 };
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -115,7 +115,6 @@
 }
 
 void Scheduler::Activate(Job& job) {
-  job.chain_steps = job.ChainSteps();
   active_[{job.record.priority, {job.record.accepted_wall_ms, job.id}}] = &job;
 }
 
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -18,7 +18,6 @@
 #include "jobs/placer.h"
 #include "jobs/scheduler_settings.h"
 #include "jobs/tail_watch.h"
-#include "jobs/urgency.h"
 #include "jobs/vm.h"
 
 namespace basilspur::jobs {
@@ -167,14 +166,10 @@
                  std::vector<Order>& orders);
   std::vector<Vm*> AllVms();
   bool MayStart(const Job& job) const;
-  /// Urgent queues first; in each, jobs that can be in time, in the order of
-  /// their arrival, and then the others.
-  std::vector<Job*> InOrderOfService() const;
   int NextRunNumber(const Job& job, const Task& task) const;
 
   SchedulerSettings settings_;
   Catalog catalog_;
-  Urgency urgency_;
   TailWatch tails_;
   Placer placer_;
   std::map<std::string, std::unique_ptr<Job>> jobs_;
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -17,31 +17,16 @@
   PlanPaces(orders);
   PlanEndings(now, orders);
   const std::vector<Vm*> vms = AllVms();
-  if (check) {
-    for (auto& [key, job] : active_) {
+  for (auto& [key, job] : active_) {
+    if (check) {
       PlanStalls(*job, now);
       PlanRetries(*job, now, orders);
-      const QueueConfig* queue = catalog_.FindQueue(job->record.queue);
-      if (queue) job->tier = urgency_.TierOf(*job, *queue, now);
     }
-  }
-  for (Job* job : InOrderOfService()) {
     if (MayStart(*job)) PlanJob(*job, vms, now, orders);
   }
   return orders;
 }
 
-std::vector<Job*> Scheduler::InOrderOfService() const {
-  std::vector<Job*> jobs;
-  jobs.reserve(active_.size());
-  for (const auto& [key, job] : active_) jobs.push_back(job);
-  std::stable_sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
-    return std::pair(a->record.priority, a->tier) <
-           std::pair(b->record.priority, b->tier);
-  });
-  return jobs;
-}
-
 bool Scheduler::MayStart(const Job& job) const {
   // Runs of earlier terms that no record names are found at the VMs, so a job
   // of that time starts nothing until each VM has answered or lapsed.
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -157,9 +157,6 @@
   const Run* run = task ? task->FindRun(row.run) : nullptr;
   const bool ours = run && run->vm == vm.listing.id;
   const bool unrecorded = !run && IsUnrecorded(job, task, row.run);
-  if (ours && row.end == RunEnd::kDone && run->began > Millis(0)) {
-    urgency_.OnRunDone(job->record.queue, now - run->began);
-  }
   ReleaseRun(vm, row.task, row.run);
   if (!task || task->done || IsFinal(job->record.status)) return;
   if (!ours && !unrecorded) return;
