--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -227,6 +227,59 @@
   }
 }
 
+static const char* NameOf(jobs::RunEnd end) {
+  switch (end) {
+    case jobs::RunEnd::kDone:
+      return "done";
+    case jobs::RunEnd::kFailed:
+      return "failed";
+    case jobs::RunEnd::kStopped:
+      return "stopped";
+    case jobs::RunEnd::kLapsed:
+      return "lapsed";
+    case jobs::RunEnd::kBroken:
+      return "broken";
+    case jobs::RunEnd::kAlone:
+      return "alone";
+  }
+  return "";
+}
+
+void CellOwner::LogEnds(const std::string& vm,
+                        const jobs::VmReport& report) const {
+  const std::int64_t known = scheduler_.NewestEnd(vm);
+  for (const jobs::EndedRow& row : report.ended) {
+    if (row.number <= known || row.end == jobs::RunEnd::kDone) continue;
+    kLog.Info("event=run_ended job=" + row.task.job +
+              " task=" + row.task.ToString() +
+              " run=" + std::to_string(row.run) + " vm=" + vm +
+              " how=" + NameOf(row.end) + " end=" + std::to_string(row.number));
+  }
+}
+
+static const char* NameOf(jobs::JobStatus status) {
+  switch (status) {
+    case jobs::JobStatus::kActive:
+      return "active";
+    case jobs::JobStatus::kDone:
+      return "done";
+    case jobs::JobStatus::kFailed:
+      return "failed";
+    case jobs::JobStatus::kCancelled:
+      return "cancelled";
+  }
+  return "";
+}
+
+void CellOwner::LogJobs(const jobs::JournalBatch& batch) const {
+  for (const auto& [id, status] : batch.jobs) {
+    if (!jobs::IsFinal(status) || scheduler_.IsEnded(id)) continue;
+    kLog.Info("event=job_ended job=" + id + " status=" + NameOf(status) +
+              CellField(ownership_) + " sequence=" + std::to_string(sequence_) +
+              " age_ms=" + std::to_string(scheduler_.AgeOf(id, Now()).count));
+  }
+}
+
 Millis CellOwner::RenewalWait(const std::string& vm) const {
   switch (scheduler_.LoadOf(vm)) {
     case jobs::VmLoad::kIdle:
@@ -250,6 +303,7 @@
   const RenewalAnswer answer = co_await vm_client_.Renew(vm, renewal);
   if (stopped_) co_return false;
   if (const auto* report = std::get_if<jobs::VmReport>(&answer)) {
+    LogEnds(vm.id, *report);
     scheduler_.OnReport(vm.id, *report, sent, Now());
     Wake();
     co_return true;
@@ -303,6 +357,7 @@
     }
     const jobs::JournalBatch batch = scheduler_.TakeBatch(clock_.Wall().count);
     if (!co_await Write(batch)) co_return;
+    LogJobs(batch);
     scheduler_.OnDurable(batch);
     flushed_.NotifyAll();
     Wake();
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -83,6 +83,8 @@
   net::asio::awaitable<void> SendOrder(jobs::Order order);
   net::asio::awaitable<JobReply> Submit(const JobRequest& request);
   net::asio::awaitable<JobReply> Cancel(const JobRequest& request);
+  void LogEnds(const std::string& vm, const jobs::VmReport& report) const;
+  void LogJobs(const jobs::JournalBatch& batch) const;
   JobReply ShowStatus(const std::string& job) const;
   Millis RenewalWait(const std::string& vm) const;
   void Wake();
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -180,6 +180,11 @@
   return job.begun ? ShownState::kRunning : ShownState::kQueued;
 }
 
+Millis Scheduler::AgeOf(const std::string& id, Millis now) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? Millis(0) : now - found->second->accepted_at;
+}
+
 int Scheduler::Pending(std::string_view queue) const {
   int pending = 0;
   for (const auto& [key, job] : active_) {
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -86,6 +86,8 @@
   /// True once the journal holds the job's cancelling, or it had ended before.
   bool IsEnded(const std::string& id) const;
   std::optional<ShownState> Shown(const std::string& id) const;
+  /// Since this owner accepted the job, or took it over.
+  Millis AgeOf(const std::string& id, Millis now) const;
   /// Accepted jobs of a queue without a started task.
   int Pending(std::string_view queue) const;
 
@@ -100,6 +102,8 @@
   std::int64_t NextDeadline(const std::string& vm, Millis now);
   /// The newest end of the VM that may be acknowledged.
   std::int64_t AcknowledgedEnd(const std::string& vm) const;
+  /// The newest end of the VM that was taken in.
+  std::int64_t NewestEnd(const std::string& vm) const;
   /// Ends were taken in that may not be acknowledged yet.
   bool HasUnacknowledgedEnds(const std::string& vm) const;
   void OnReport(const std::string& vm, const VmReport& report, Millis sent,
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -19,6 +19,11 @@
   return found == vms_.end() ? 0 : found->second->durable_end;
 }
 
+std::int64_t Scheduler::NewestEnd(const std::string& vm) const {
+  const auto found = vms_.find(vm);
+  return found == vms_.end() ? 0 : found->second->last_end;
+}
+
 bool Scheduler::HasUnacknowledgedEnds(const std::string& vm) const {
   const auto found = vms_.find(vm);
   return found != vms_.end() &&
