--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -13,6 +13,8 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
+/// A machine without power never refuses; peers that live answer far sooner.
+static constexpr Millis kConnectTimeout(500);
 static constexpr std::size_t kMaxIdlePerPeer = 12;
 static constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20;
 
@@ -39,7 +41,9 @@
     const Result<Address> parsed = ParseAddress(address);
     if (!IsOk(parsed)) co_return ErrorOf(parsed);
     auto stream = std::make_unique<beast::tcp_stream>(context_);
-    stream->expires_after(std::chrono::milliseconds(timeout.count));
+    const Millis patience =
+        timeout < kConnectTimeout ? timeout : kConnectTimeout;
+    stream->expires_after(std::chrono::milliseconds(patience.count));
     const asio::ip::tcp::endpoint endpoint(
         asio::ip::make_address(ValueOf(parsed).ip), ValueOf(parsed).port);
     error_code failure;
