--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -34,15 +34,15 @@
                          Millis sent, Millis now) {
   Vm* vm = FindVm(id);
   if (!vm) return;
-  bool lease_lapsed = vm->NoteClock(report.clock_ms, sent, now) || vm->lapsed;
+  const bool lapsed = vm->NoteClock(report.clock_ms, sent, now) || vm->lapsed;
+  // What ended before the lease lapsed, and was not acknowledged, is void.
+  std::int64_t last_lapse = 0;
   for (const EndedRow& row : report.ended) {
-    if (row.number > vm->last_end && row.end == RunEnd::kLapsed) {
-      lease_lapsed = true;
-    }
+    if (row.end == RunEnd::kLapsed) last_lapse = row.number;
   }
   for (const EndedRow& row : report.ended) {
     if (row.number <= vm->last_end) continue;
-    TakeEnd(*vm, row, lease_lapsed, now);
+    TakeEnd(*vm, row, lapsed || row.number < last_lapse, now);
     vm->last_end = row.number;
     new_ends_[id] = row.number;
   }
--- a/src/libs/jobs/tail_watch.cc
+++ b/src/libs/jobs/tail_watch.cc
@@ -99,6 +99,9 @@
 int TailWatch::PaceFor(const Vm& vm, const std::string& image,
                        std::int64_t cpu_millis) const {
   if (vm.Serving() == 0) return 100;
+  for (const auto& [key, run] : vm.Runs()) {
+    if (run.over_since != Millis(0)) return 0;
+  }
   auto found = vm.tail_lines.find(image);
   if (found == vm.tail_lines.end()) {
     found = vm.tail_lines.emplace(image, LinesOf(vm, image)).first;
--- a/tests/auto/jobs/scheduler_test.cc
+++ b/tests/auto/jobs/scheduler_test.cc
@@ -267,6 +267,22 @@
             .empty());
 }
 
+TEST_CASE(
+    "an end that came after a lapse counts, one from before it does not") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  const TaskRef second{kJob, 0, 0, 1};
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(2, 1'000)}));
+  REQUIRE(fixture.PlanAndConfirm().size() == 2);
+  fixture.Report("vm", {},
+                 {fixture.MakeEnd(1, kTask, 1, RunEnd::kDone),
+                  fixture.MakeEnd(2, {"gone", 0, 0, 0}, 1, RunEnd::kLapsed),
+                  fixture.MakeEnd(3, second, 1, RunEnd::kDone)});
+  const std::vector<Order> orders = fixture.PlanAndConfirm();
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].task == kTask);
+}
+
 TEST_CASE("a new owner judges attempts by the job's record") {
   SchedulerFixture fixture;
   fixture.AddVm("vm");
--- a/tests/auto/jobs/tail_watch_test.cc
+++ b/tests/auto/jobs/tail_watch_test.cc
@@ -101,3 +101,16 @@
   watch.Pace(vm, Millis(30'000));
   CHECK(vm.FindRun(kBatch)->pace == 100);
 }
+
+TEST_CASE("nothing comes in beside a tail that is over its target") {
+  TailWatch watch{TailSettings{}};
+  Teach(watch, "light", kBaseMs);
+  Vm vm = MakeVm();
+  REQUIRE(watch.PaceFor(vm, "light", 2'000) == 100);
+  vm.FindRun(kServed)->figure = kTargetMs + 1;
+  watch.Observe(vm, Millis(30'000));
+  CHECK(watch.PaceFor(vm, "light", 2'000) == 0);
+  vm.FindRun(kServed)->figure = kBaseMs;
+  watch.Observe(vm, Millis(31'000));
+  CHECK(watch.PaceFor(vm, "light", 2'000) == 100);
+}
