--- a/src/libs/cell/directory.h
+++ b/src/libs/cell/directory.h
@@ -16,7 +16,6 @@
   struct Callbacks {
     std::function<void(const jobs::VmListing& listing)> on_listed;
     std::function<void(const std::string& id)> on_gone;
-    std::function<void()> on_read;  ///< The list has been read to its end.
   };
 
   virtual ~Directory() = default;
--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -96,7 +96,6 @@
   Directory::Callbacks callbacks;
   callbacks.on_listed = [this](const jobs::VmListing& vm) { OnListed(vm); };
   callbacks.on_gone = [this](const std::string& id) { OnGone(id); };
-  callbacks.on_read = [] {};
   directory_.Start(std::move(callbacks));
 }
 
--- a/src/libs/jobs/catalog.h
+++ b/src/libs/jobs/catalog.h
@@ -13,11 +13,9 @@
   std::string name;
   std::string host;
   std::string path_prefix;
-  std::string service;        ///< Its VMs run the queue's tasks.
-  int priority = 0;           ///< 0 is the most urgent.
-  int attempts = 1;           ///< Failed runs of a task that end its job.
-  double stretch = 1.0;       ///< Objective, by the longest chain of work.
-  std::int64_t slack_ms = 0;  ///< Added to the objective.
+  std::string service;  ///< Its VMs run the queue's tasks.
+  int priority = 0;     ///< 0 is the most urgent.
+  int attempts = 1;     ///< Failed runs of a task that end its job.
 };
 
 /// A pool of VMs.
--- a/src/libs/jobs/job_spec.h
+++ b/src/libs/jobs/job_spec.h
@@ -25,14 +25,6 @@
             self.repeats);
   }
 
-  /// True if a step runs until the job is cancelled.
-  bool IsLongRunning() const {
-    for (const StepSpec& step : steps) {
-      if (step.long_running) return true;
-    }
-    return false;
-  }
-
   int Occurrences() const {
     return repeats > 0 ? static_cast<int>(repeats) : 1;
   }
