--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,4 +7,5 @@
 ./scripts/format.sh --check
 ./scripts/build.sh build
 ./scripts/lint.sh build
+cat KNOWN-RED.txt
 ctest --test-dir build --output-on-failure -j 4 --no-tests=error
