--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -92,10 +92,27 @@
   /// Adds an occurrence with all its tasks waiting.
   Occurrence& AddOccurrence(int number);
   bool HasRuns() const;
+  /// Calls `visit(ref, task, run)` for each run. It must not add or remove any.
+  template <class Visit>
+  void ForEachRun(Visit visit);
   ProgressRecord MakeProgress() const;
   void ApplyProgress(const ProgressRecord& progress);
 };
 
+template <class Visit>
+void Job::ForEachRun(Visit visit) {
+  for (Occurrence& occurrence : occurrences) {
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      std::vector<Task>& tasks = occurrence.steps[step].tasks;
+      for (std::size_t index = 0; index < tasks.size(); ++index) {
+        const TaskRef ref{id, occurrence.number, static_cast<int>(step),
+                          static_cast<int>(index)};
+        for (Run& run : tasks[index].runs) visit(ref, tasks[index], run);
+      }
+    }
+  }
+}
+
 }  // namespace basilspur::jobs
 
 #endif  // BASILSPUR_JOBS_JOB_H_
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -74,21 +74,11 @@
   } else if (job.HasRuns()) {
     ending_.insert(id);
   }
-  for (Occurrence& occurrence : job.occurrences) {
-    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-      const StepSpec& spec = job.record.spec.steps[step];
-      std::vector<Task>& tasks = occurrence.steps[step].tasks;
-      for (std::size_t index = 0; index < tasks.size(); ++index) {
-        for (const Run& run : tasks[index].runs) {
-          if (!FindVm(run.vm)) RestoreVm(run.vm, {}, now);
-          FindVm(run.vm)->Add({{id, occurrence.number, static_cast<int>(step),
-                                static_cast<int>(index)},
-                               run.number},
-                              MakeRunOnVm(spec));
-        }
-      }
-    }
-  }
+  job.ForEachRun([&](const TaskRef& ref, Task&, const Run& run) {
+    if (!FindVm(run.vm)) RestoreVm(run.vm, {}, now);
+    FindVm(run.vm)->Add({ref, run.number},
+                        MakeRunOnVm(job.record.spec.steps[ref.step]));
+  });
 }
 
 void Scheduler::RestoreVm(const std::string& id, const VmRecord& record,
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -173,23 +173,8 @@
   run.ordered = now;
 }
 
-/// Calls `visit(ref, task, run)` for each run of a job.
-template <class Visit>
-static void ForEachRun(Job& job, Visit visit) {
-  for (Occurrence& occurrence : job.occurrences) {
-    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-      std::vector<Task>& tasks = occurrence.steps[step].tasks;
-      for (std::size_t index = 0; index < tasks.size(); ++index) {
-        const TaskRef ref{job.id, occurrence.number, static_cast<int>(step),
-                          static_cast<int>(index)};
-        for (Run& run : tasks[index].runs) visit(ref, tasks[index], run);
-      }
-    }
-  }
-}
-
 void Scheduler::PlanRetries(Job& job, Millis now, std::vector<Order>& orders) {
-  ForEachRun(job, [&](const TaskRef& ref, Task& task, Run& run) {
+  job.ForEachRun([&](const TaskRef& ref, Task& task, Run& run) {
     if (run.phase == RunPhase::kStopping && !run.stop_confirmed &&
         now - run.ordered >= settings_.stop_retry) {
       OrderStop(ref, run, now, orders);
@@ -210,7 +195,7 @@
 }
 
 void Scheduler::PlanStalls(Job& job, Millis now) {
-  ForEachRun(job, [&](const TaskRef& ref, Task& task, Run& run) {
+  job.ForEachRun([&](const TaskRef& ref, Task& task, Run& run) {
     const StepSpec& spec = job.record.spec.steps[ref.step];
     if (run.phase != RunPhase::kRunning || spec.gang) return;
     if (spec.long_running && run.percent >= 100) return;
@@ -233,7 +218,7 @@
     Job* job = FindJob(*at);
     bool any = false;
     if (job) {
-      ForEachRun(*job, [&](const TaskRef& ref, Task&, Run& run) {
+      job->ForEachRun([&](const TaskRef& ref, Task&, Run& run) {
         any = true;
         const bool first = run.phase != RunPhase::kStopping;
         const bool again =
