Learn tails' bases beside light images, and defer jobs that waited too long

The base of a tail was learned only on VMs without such runs, at a rate that follows the load's swing of seconds; once all VMs had some, it stayed where the swing had left it. And in bursts that last, the order of arrival makes every job just too late. Ruled out: too few processors (30 of 48 VMs had room for what waited). Change: the base is a slow mean, learned beside light images too; a run that adds next to nothing may always come; limit for placing 0.66 of the target; ServiceOrder defers jobs that have waited for half of what they can spare and have not begun. An owner takes over with the jobs' real age.

--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -128,7 +128,7 @@
       scheduler_.Restore(
           id, ValueOf(decoded),
           found == progress.end() ? std::nullopt : std::optional(found->second),
-          Now());
+          clock_.Wall().count, Now());
     }
     co_return true;
   }
--- a/src/libs/jobs/catalog.h
+++ b/src/libs/jobs/catalog.h
@@ -16,6 +16,10 @@
   std::string service;  ///< Its VMs run the queue's tasks.
   int priority = 0;     ///< 0 is the most urgent.
   int attempts = 1;     ///< Failed runs of a task that end its job.
+  /// A job's latency objective: this many times its longest chain of runs,
+  /// and the slack.
+  double stretch = 1;
+  std::int64_t slack_ms = 0;
 };
 
 /// A pool of VMs.
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -66,6 +66,14 @@
   int steps_done = 0;
 };
 
+/// Where a job stands among those of its priority, in order of service.
+enum class ServiceTier {
+  kBegun,          ///< A task of it has been started.
+  kFresh,          ///< It can wait a while and still be done in time.
+  kDeferredBegun,  ///< It was started after it had been deferred.
+  kDeferred,       ///< It has waited for too long to be done in time.
+};
+
 /// An accepted job. Thread safety: as its scheduler.
 struct Job {
   std::string id;
@@ -81,6 +89,7 @@
   bool progress_dirty = false;
   bool has_progress = false;  ///< The journal holds a progress record.
   Millis accepted_at;
+  ServiceTier tier = ServiceTier::kFresh;
 
   Task& At(const TaskRef& task);
   /// Null if the task is not part of a present occurrence.
--- a/src/libs/jobs/job_spec.h
+++ b/src/libs/jobs/job_spec.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPUR_JOBS_JOB_SPEC_H_
 #define BASILSPUR_JOBS_JOB_SPEC_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,6 +26,24 @@
             self.repeats);
   }
 
+  bool IsLongRunning() const {
+    return std::any_of(steps.begin(), steps.end(),
+                       [](const StepSpec& step) { return step.long_running; });
+  }
+
+  /// Steps of the longest chain of dependencies.
+  int LongestChain() const {
+    std::vector<int> chain;  // A step stands after those it depends on.
+    for (const StepSpec& step : steps) {
+      int before = 0;
+      for (const int earlier : step.after) {
+        before = std::max(before, chain[earlier]);
+      }
+      chain.push_back(before + 1);
+    }
+    return chain.empty() ? 0 : *std::max_element(chain.begin(), chain.end());
+  }
+
   int Occurrences() const {
     return repeats > 0 ? static_cast<int>(repeats) : 1;
   }
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -57,7 +57,7 @@
 
 void Scheduler::Restore(const std::string& id, const JobRecord& record,
                         const std::optional<ProgressRecord>& progress,
-                        Millis now) {
+                        std::int64_t wall_ms, Millis now) {
   auto owned = std::make_unique<Job>();
   Job& job = *owned;
   job.id = id;
@@ -65,7 +65,8 @@
   job.accepted = true;
   job.old = true;
   job.shown = record.status;
-  job.accepted_at = now;
+  const std::int64_t age = wall_ms - record.accepted_wall_ms;
+  job.accepted_at = now - Millis(std::max(age, std::int64_t{0}));
   jobs_[id] = std::move(owned);
   job.has_progress = progress.has_value();
   if (progress) job.ApplyProgress(*progress);
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -17,6 +17,7 @@
 #include "jobs/order.h"
 #include "jobs/placer.h"
 #include "jobs/scheduler_settings.h"
+#include "jobs/service_order.h"
 #include "jobs/tail_watch.h"
 #include "jobs/vm.h"
 
@@ -65,7 +66,8 @@
 
   /// Takes a job in from the journal. Call for all before the first plan.
   void Restore(const std::string& id, const JobRecord& record,
-               const std::optional<ProgressRecord>& progress, Millis now);
+               const std::optional<ProgressRecord>& progress,
+               std::int64_t wall_ms, Millis now);
   /// Takes in what the journal has of a VM, listed or not.
   void RestoreVm(const std::string& vm, const VmRecord& record, Millis now);
   /// Ends the restoring. `first_run`: the lowest number for new runs.
@@ -86,7 +88,7 @@
   /// True once the journal holds the job's cancelling, or it had ended before.
   bool IsEnded(const std::string& id) const;
   std::optional<ShownState> Shown(const std::string& id) const;
-  /// Since this owner accepted the job, or took it over.
+  /// Since the job was accepted; by the time of day, if by another owner.
   Millis AgeOf(const std::string& id, Millis now) const;
   /// Accepted jobs of a queue without a started task.
   int Pending(std::string_view queue) const;
@@ -170,10 +172,14 @@
                  std::vector<Order>& orders);
   std::vector<Vm*> AllVms();
   bool MayStart(const Job& job) const;
+  /// Urgent queues first, then by tier, then first come, first served.
+  std::vector<Job*> InOrderOfService() const;
+  void UpdateTier(Job& job, Millis now);
   int NextRunNumber(const Job& job, const Task& task) const;
 
   SchedulerSettings settings_;
   Catalog catalog_;
+  ServiceOrder order_;
   TailWatch tails_;
   Placer placer_;
   std::map<std::string, std::unique_ptr<Job>> jobs_;
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -17,16 +17,35 @@
   PlanPaces(orders);
   PlanEndings(now, orders);
   const std::vector<Vm*> vms = AllVms();
-  for (auto& [key, job] : active_) {
-    if (check) {
+  if (check) {
+    for (auto& [key, job] : active_) {
       PlanStalls(*job, now);
       PlanRetries(*job, now, orders);
+      UpdateTier(*job, now);
     }
+  }
+  for (Job* job : InOrderOfService()) {
     if (MayStart(*job)) PlanJob(*job, vms, now, orders);
   }
   return orders;
 }
 
+void Scheduler::UpdateTier(Job& job, Millis now) {
+  const QueueConfig* queue = catalog_.FindQueue(job.record.queue);
+  if (queue) job.tier = order_.TierOf(job, *queue, now);
+}
+
+std::vector<Job*> Scheduler::InOrderOfService() const {
+  std::vector<Job*> jobs;
+  jobs.reserve(active_.size());
+  for (const auto& [key, job] : active_) jobs.push_back(job);
+  std::stable_sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+    return std::pair(a->record.priority, a->tier) <
+           std::pair(b->record.priority, b->tier);
+  });
+  return jobs;
+}
+
 bool Scheduler::MayStart(const Job& job) const {
   // Runs of earlier terms that no record names are found at the VMs, so a job
   // of that time starts nothing until each VM has answered or lapsed.
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -162,6 +162,12 @@
   const Run* run = task ? task->FindRun(row.run) : nullptr;
   const bool ours = run && run->vm == vm.listing.id;
   const bool unrecorded = !run && IsUnrecorded(job, task, row.run);
+  const RunOnVm* charge = vm.FindRun({row.task, row.run});
+  const bool timed =
+      run && run->began > Millis(0) && charge && charge->paced_at == Millis(0);
+  if (ours && timed && row.end == RunEnd::kDone) {
+    order_.OnRunDone(job->record.queue, now - run->began);
+  }
   ReleaseRun(vm, row.task, row.run);
   if (!task || task->done || IsFinal(job->record.status)) return;
   if (!ours && !unrecorded) return;
--- a/src/libs/jobs/tail_watch.cc
+++ b/src/libs/jobs/tail_watch.cc
@@ -10,9 +10,17 @@
 static constexpr double kTailVariance = 0.3;
 /// A base that no one has measured yet, as a share of the target.
 static constexpr double kUnknownBase = 0.4;
-static constexpr double kBaseGain = 0.03;
+/// Load moves a tail by half within seconds, so its mean takes many
+/// measurements.
+static constexpr int kBaseMemory = 300;
+/// As many measurements as the first guess of a base counts for.
+static constexpr int kBaseFirstGuess = 20;
+/// A tail that others raise by less than this part tells of its base.
+static constexpr double kAlmostAlone = 0.15;
 /// Shares below this leave a tail as it is.
 static constexpr double kNoShare = 0.005;
+/// A run that adds less than this, as a share of the target, may always come.
+static constexpr double kNegligible = 0.02;
 /// A throttled run gets this share of its pace, and from a floor on none.
 static constexpr double kThrottleFactor = 0.4;
 static constexpr int kPaceFloor = 15;
@@ -27,10 +35,20 @@
 double TailWatch::BaseOf(const std::string& image,
                          std::int64_t target_ms) const {
   const auto found = bases_.find(image);
-  if (found != bases_.end()) return found->second;
+  if (found != bases_.end()) return found->second.mean_ms;
   return kUnknownBase * static_cast<double>(target_ms);
 }
 
+void TailWatch::LearnBase(const RunOnVm& run, double alone_ms) {
+  const auto target = static_cast<double>(run.tail_target_ms);
+  const auto [found, is_new] = bases_.try_emplace(run.image);
+  Base& base = found->second;
+  if (is_new) base = {kUnknownBase * target, kBaseFirstGuess};
+  base.measurements = std::min(base.measurements + 1, kBaseMemory);
+  base.mean_ms += (std::min(alone_ms, target) - base.mean_ms) /
+                  static_cast<double>(base.measurements);
+}
+
 /// The best-effort shares of a VM, as measured or as ordered.
 static std::map<std::string, double> SharesOf(const Vm& vm, bool measured) {
   std::map<std::string, double> shares;
@@ -61,15 +79,11 @@
     const bool over = run.figure > run.tail_target_ms;
     if (!over) run.over_since = Millis(0);
     if (over && run.over_since == Millis(0)) run.over_since = now;
-    double base = BaseOf(run.image, run.tail_target_ms);
-    if (total < kNoShare) {
-      const double capped =
-          std::min(tail, static_cast<double>(run.tail_target_ms));
-      bases_[run.image] = base + kBaseGain * (capped - base);
-      continue;
-    }
     mix.services.assign(1, run.image);
-    model_.Observe(mix, tail / base);
+    const double slowdown = model_.Predict(mix);
+    if (slowdown - 1 < kAlmostAlone) LearnBase(run, tail / slowdown);
+    if (total < kNoShare) continue;
+    model_.Observe(mix, tail / BaseOf(run.image, run.tail_target_ms));
   }
 }
 
@@ -108,9 +122,10 @@
   }
   double pace = 100;
   for (const TailLine& line : found->second) {
+    const double full = line.per_millicore * static_cast<double>(cpu_millis);
+    if (full < kNegligible) continue;
     const double left = settings_.place_limit - line.now;
     if (left <= 0) return 0;
-    const double full = line.per_millicore * static_cast<double>(cpu_millis);
     if (full > left) pace = std::min(pace, 100 * left / full);
   }
   return static_cast<int>(pace);
--- a/src/libs/jobs/tail_watch.h
+++ b/src/libs/jobs/tail_watch.h
@@ -13,7 +13,7 @@
 namespace basilspur::jobs {
 
 struct TailSettings {
-  double place_limit = 0.58;     ///< Predicted share of a target, when placing.
+  double place_limit = 0.66;     ///< Predicted share of a target, when placing.
   double throttle_from = 0.85;   ///< Measured share of a target.
   double release_below = 0.6;    ///< Measured share of a target.
   Millis longest_over{1'500};    ///< Over its target, until all yield.
@@ -42,15 +42,22 @@
   void Pace(Vm& vm, Millis now);
 
  private:
+  /// The tail of an image's tasks with nothing beside them.
+  struct Base {
+    double mean_ms = 0;
+    int measurements = 0;
+  };
+
   std::vector<TailLine> LinesOf(const Vm& vm, const std::string& image) const;
   double BaseOf(const std::string& image, std::int64_t target_ms) const;
+  void LearnBase(const RunOnVm& run, double alone_ms);
   void Throttle(Vm& vm, const RunOnVm& victim, Millis now);
   void Release(Vm& vm, Millis now);
   void SetPace(Vm& vm, RunOnVm& run, int percent, Millis now);
 
   TailSettings settings_;
   interference::InterferenceModel model_;
-  std::map<std::string, double> bases_;  ///< Tails without others, in ms.
+  std::map<std::string, Base> bases_;
 };
 
 }  // namespace basilspur::jobs
--- a/tests/auto/jobs/scheduler_fixture.cc
+++ b/tests/auto/jobs/scheduler_fixture.cc
@@ -121,7 +121,7 @@
       progress = ValueOf(records::Decode<ProgressRecord>(found->second));
     }
     next->Restore(id, ValueOf(records::Decode<JobRecord>(value)), progress,
-                  now);
+                  wall_ms, now);
   }
   next->FinishRestore(first_run, now);
   return next;
--- a/tests/auto/jobs/tail_watch_test.cc
+++ b/tests/auto/jobs/tail_watch_test.cc
@@ -114,3 +114,38 @@
   watch.Observe(vm, Millis(31'000));
   CHECK(watch.PaceFor(vm, "light", 2'000) == 100);
 }
+
+/// Shows the watch tails of `tail_ms` beside runs of `image`.
+static void ShowTails(TailWatch& watch, const char* image, std::int64_t tail_ms,
+                      int count) {
+  Vm vm = MakeVm();
+  AddBatch(vm, image);
+  vm.FindRun(kServed)->figure = tail_ms;
+  for (int i = 0; i < count; ++i) {
+    watch.Observe(vm, Millis(100'000 + 500 * i));
+  }
+}
+
+TEST_CASE("a swing of load does not close all VMs once each has light runs") {
+  TailWatch watch{TailSettings{}};
+  Teach(watch, "light", kBaseMs);
+  // For seconds the load raises the tails of VMs with nothing beside them.
+  Vm alone = MakeVm();
+  alone.FindRun(kServed)->figure = kBaseMs * 3 / 2;
+  for (int i = 0; i < 100; ++i) {
+    watch.Observe(alone, Millis(50'000 + 500 * i));
+  }
+  // Then no VM is without light runs any more, and the load is low again.
+  ShowTails(watch, "light", kBaseMs * 3 / 4, 300);
+  CHECK(watch.PaceFor(MakeVm(), "medium", 3'000) == 100);
+}
+
+TEST_CASE("a run that adds next to nothing comes in beside a high tail") {
+  TailWatch watch{TailSettings{}};
+  Teach(watch, "light", kBaseMs);
+  Teach(watch, "heavy", 16);
+  Vm vm = MakeVm();
+  AddBatch(vm, "heavy");
+  CHECK(watch.PaceFor(vm, "light", 200) == 100);
+  CHECK(watch.PaceFor(vm, "heavy", 2'000) < 100);
+}
