Let another cell take a job when its own is clearly fuller

Ruled out: too little room in all (of 17,600 cores 3,000 were free). Change: owners tell their cell's load with each renewal; a job's own cell compares itself with two others and, if it is clearly fuller, journals that the other takes the job; entries are sent on from there. A move is told only once it is durable, so a job has one place. Moves are dropped once the other cell has forgotten the job.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -17,7 +17,7 @@
 CellMember::CellMember(net::asio::io_context& context, Store& store,
                        const Clock& clock, Identity identity,
                        ElectionSettings settings, int cell, std::uint64_t seed,
-                       MakeOwner make_owner, AskPeer ask_peer)
+                       MakeOwner make_owner, AskPeer ask_peer, OnLoad on_load)
     : context_(context),
       store_(store),
       clock_(clock),
@@ -26,7 +26,8 @@
       partition_{"keyed.owners", cell},
       election_(settings, identity_.node, identity_.incarnation, seed),
       make_owner_(std::move(make_owner)),
-      ask_peer_(std::move(ask_peer)) {}
+      ask_peer_(std::move(ask_peer)),
+      on_load_(std::move(on_load)) {}
 
 void CellMember::Start() {
   const auto self = shared_from_this();
@@ -55,6 +56,7 @@
               owner->node + " token=" + std::to_string(owner->token) +
               " offset=" + std::to_string(record.offset));
   }
+  if (owner) on_load_(owner->load);
   Follow();
 }
 
@@ -147,6 +149,7 @@
   appending_ = true;
   const Millis sent = clock_.Monotonic();
   const bool renewal = record.token >= 0;
+  if (renewal && owner_) record.load = owner_->Load();
   const KeyedRecord written{kOwnerKey, records::Encode(record), 0};
   std::vector<KeyedRecord> records(1, written);
   const AppendAnswer answer =
@@ -157,6 +160,7 @@
       if (renewal) {
         if (election_.Token() == record.token) {
           election_.OnRenewed(answer.offset, sent, now);
+          on_load_(record.load);
         }
       } else {
         OnRecord({kOwnerKey, written.value, answer.offset});
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -28,6 +28,8 @@
   /// Sends a request to the entry at an address.
   using AskPeer = std::function<net::asio::awaitable<JobReply>(
       std::string address, JobRequest request, Millis patience)>;
+  /// The cell's owner has told how full the cell is.
+  using OnLoad = std::function<void(const CellLoad& load)>;
   using MakeOwner = std::function<std::shared_ptr<CellOwner>(
       CellOwner::Ownership ownership, std::function<bool()> is_fresh,
       std::function<void()> on_deposed)>;
@@ -35,7 +37,8 @@
   /// Precondition: the references outlive the object.
   CellMember(net::asio::io_context& context, Store& store, const Clock& clock,
              Identity identity, ElectionSettings settings, int cell,
-             std::uint64_t seed, MakeOwner make_owner, AskPeer ask_peer);
+             std::uint64_t seed, MakeOwner make_owner, AskPeer ask_peer,
+             OnLoad on_load);
 
   void Start();
   /// Looks at what time alone changes. `owned`: cells this node owns.
@@ -70,6 +73,7 @@
   Election election_;
   MakeOwner make_owner_;
   AskPeer ask_peer_;
+  OnLoad on_load_;
   std::shared_ptr<TopicWatcher> watcher_;
   std::shared_ptr<CellOwner> owner_;
   std::int64_t owner_token_ = -1;
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -22,7 +22,7 @@
 CellOwner::CellOwner(net::asio::io_context& context, Store& store,
                      VmClient& vms, const Clock& clock,
                      CellOwnerSettings settings, Ownership ownership,
-                     std::function<bool()> is_fresh,
+                     Surroundings surroundings, std::function<bool()> is_fresh,
                      std::function<void()> on_deposed)
     : context_(context),
       store_(store),
@@ -30,6 +30,7 @@
       clock_(clock),
       settings_(settings),
       ownership_(ownership),
+      surroundings_(std::move(surroundings)),
       is_fresh_(std::move(is_fresh)),
       on_deposed_(std::move(on_deposed)),
       scheduler_(settings.scheduler),
@@ -90,6 +91,17 @@
   co_return false;
 }
 
+void CellOwner::RestoreMove(const KeyedRecord& record) {
+  const auto decoded = records::Decode<jobs::MoveRecord>(record.value);
+  if (IsOk(decoded)) {
+    scheduler_.Moved().Restore(record.key.substr(1), ValueOf(decoded).cell,
+                               Now());
+    return;
+  }
+  kLog.Error("event=journal_record_unreadable key=" + record.key + " error=\"" +
+             ErrorOf(decoded).ToString() + "\"");
+}
+
 void CellOwner::RestoreVm(const KeyedRecord& record) {
   const auto decoded = records::Decode<jobs::VmRecord>(record.value);
   if (IsOk(decoded)) {
@@ -111,6 +123,7 @@
     std::map<std::string, jobs::ProgressRecord> progress;
     for (const KeyedRecord& record : ValueOf(read).records) {
       if (record.key.starts_with('v')) RestoreVm(record);
+      if (record.key.starts_with('m')) RestoreMove(record);
       if (!record.key.starts_with('p')) continue;
       auto decoded = records::Decode<jobs::ProgressRecord>(record.value);
       if (IsOk(decoded)) progress[record.key.substr(1)] = ValueOf(decoded);
@@ -160,6 +173,10 @@
   // Callers' patience may be over without anything having been stored.
   flushed_.NotifyAll();
   Wake();
+  if (ready_ && Now() - moved_checked_ >= settings_.moved_check) {
+    moved_checked_ = Now();
+    net::asio::co_spawn(context_, CheckMoved(), net::asio::detached);
+  }
   if (!ready_ || Now() - summarized_ < settings_.summary_interval) return;
   summarized_ = Now();
   const jobs::CellSummary summary = scheduler_.Summary(Now());
@@ -175,6 +192,17 @@
       " oldest_wait_ms=" + std::to_string(summary.oldest_wait.count));
 }
 
+CellLoad CellOwner::Load() const {
+  if (!ready_) return {};
+  const jobs::CellSummary summary = scheduler_.Summary(Now());
+  CellLoad load;
+  load.room = summary.room_cpu_millis;
+  load.charged = summary.room_cpu_millis - summary.free_cpu_millis;
+  load.waiting = summary.waiting_cpu_millis;
+  load.best_effort = summary.best_effort_cpu_millis;
+  return load;
+}
+
 void CellOwner::Wake() {
   if (!ready_ || plan_posted_) return;
   plan_posted_ = true;
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "cell/cell_load.h"
 #include "cell/peer_messages.h"
 #include "cell/signal.h"
 #include "cell/store.h"
@@ -27,6 +28,7 @@
   Millis summary_interval{2'000};    ///< Between state lines in the log.
   Millis silent_pause{150};          ///< After a renewal without an answer.
   std::size_t call_bytes = 1 << 20;  ///< Of the records in one append.
+  Millis moved_check{1'000};         ///< Between looks at jobs that moved.
 };
 
 /// One ownership of a cell: carries out what its scheduler decides, writes the
@@ -42,12 +44,23 @@
     bool handed_over = false;  ///< The owner before gave the cell up itself.
   };
 
+  /// What an owner asks of the entry that it is part of.
+  struct Surroundings {
+    /// Chooses the cell that takes a new job of this cell.
+    std::function<int(int home, const std::string& job,
+                      const jobs::JobSpec& spec)>
+        choose_cell;
+    /// Asks the owner of the request's cell.
+    std::function<net::asio::awaitable<JobReply>(JobRequest request)> ask;
+  };
+
   /// `is_fresh` tells whether this node may speak for the cell's unknown jobs;
   /// `on_deposed` is called when another owner has shown itself.
   /// Precondition: the references outlive the object.
   CellOwner(net::asio::io_context& context, Store& store, VmClient& vms,
             const Clock& clock, CellOwnerSettings settings, Ownership ownership,
-            std::function<bool()> is_fresh, std::function<void()> on_deposed);
+            Surroundings surroundings, std::function<bool()> is_fresh,
+            std::function<void()> on_deposed);
 
   /// Bars earlier owners from the journal, reads it, and starts work.
   /// Returns false if a later owner was there, or after Stop.
@@ -69,11 +82,14 @@
   void Stop();
   bool IsReady() const { return ready_; }
   const jobs::Scheduler& State() const { return scheduler_; }
+  /// How full the cell is; its room is 0 until the owner is ready.
+  CellLoad Load() const;
 
  private:
   net::asio::awaitable<bool> BeginEpoch();
   net::asio::awaitable<bool> ReadJournal();
   void RestoreVm(const KeyedRecord& record);
+  void RestoreMove(const KeyedRecord& record);
   net::asio::awaitable<void> RunJournal();
   net::asio::awaitable<bool> Append(std::vector<KeyedRecord> records);
   net::asio::awaitable<bool> Write(const jobs::JournalBatch& batch);
@@ -82,6 +98,11 @@
   net::asio::awaitable<void> WaitForAcknowledgement(std::string id);
   net::asio::awaitable<void> SendOrder(jobs::Order order);
   net::asio::awaitable<JobReply> Submit(const JobRequest& request);
+  /// Takes the job in here or decides that another cell takes it. Returns a
+  /// reply if nothing was done.
+  std::optional<JobReply> Admit(const JobRequest& request);
+  net::asio::awaitable<JobReply> TellMoved(const JobRequest& request);
+  net::asio::awaitable<void> CheckMoved();
   net::asio::awaitable<JobReply> Cancel(const JobRequest& request);
   void LogEnds(const std::string& vm, const jobs::VmReport& report) const;
   void LogJobs(const jobs::JournalBatch& batch) const;
@@ -98,6 +119,7 @@
   const Clock& clock_;
   CellOwnerSettings settings_;
   Ownership ownership_;
+  Surroundings surroundings_;
   std::function<bool()> is_fresh_;
   std::function<void()> on_deposed_;
   jobs::Scheduler scheduler_;
@@ -109,6 +131,7 @@
   std::optional<Millis> append_began_;
   std::set<std::string> driven_;
   Millis summarized_;
+  Millis moved_checked_;
   bool predecessors_gone_ = false;
   bool plan_posted_ = false;
   bool ready_ = false;
--- a/src/libs/cell/cell_owner_requests.cc
+++ b/src/libs/cell/cell_owner_requests.cc
@@ -1,10 +1,18 @@
+#include "base/logging.h"
 #include "cell/cell_owner.h"
 
 namespace basilspur::cell {
 
+static constexpr LogCategory kLog("cell");
+/// How long another cell's owner may take to say whether it knows a job.
+static constexpr std::int64_t kCheckPatienceMs = 1'000;
+
 net::asio::awaitable<JobReply> CellOwner::Handle(JobRequest request) {
   const auto self = shared_from_this();
   if (!ready_ || stopped_) co_return JobReply{ReplyKind::kNotOwner};
+  if (scheduler_.Moved().Contains(request.job)) {
+    co_return co_await TellMoved(request);
+  }
   switch (request.kind) {
     case RequestKind::kSubmit:
       co_return co_await Submit(request);
@@ -23,18 +31,12 @@
 
 net::asio::awaitable<JobReply> CellOwner::Submit(const JobRequest& request) {
   if (!scheduler_.Knows(request.job)) {
-    if (draining_) co_return JobReply{ReplyKind::kNotOwner};
-    if (append_began_ && Now() - *append_began_ > settings_.store_stalled) {
-      co_return JobReply{ReplyKind::kUnavailable};
-    }
-    const jobs::QueueConfig* queue = catalog_.FindQueue(request.queue);
-    if (!queue) co_return JobReply{ReplyKind::kNotOwner};
-    const jobs::SubmitVerdict verdict = scheduler_.Submit(
-        request.job, *queue, request.spec, clock_.Wall().count, Now());
-    if (verdict == jobs::SubmitVerdict::kTooManyJobs) {
-      co_return JobReply{ReplyKind::kBusy};
-    }
+    const std::optional<JobReply> refused = Admit(request);
+    if (refused) co_return *refused;
     dirty_.NotifyAll();
+    if (scheduler_.Moved().Contains(request.job)) {
+      co_return co_await TellMoved(request);
+    }
   }
   const Millis until = Now() + Millis(request.patience_ms);
   while (!scheduler_.IsAccepted(request.job)) {
@@ -44,6 +46,58 @@
   co_return JobReply{ReplyKind::kAccepted};
 }
 
+std::optional<JobReply> CellOwner::Admit(const JobRequest& request) {
+  if (draining_) return JobReply{ReplyKind::kNotOwner};
+  if (append_began_ && Now() - *append_began_ > settings_.store_stalled) {
+    return JobReply{ReplyKind::kUnavailable};
+  }
+  const jobs::QueueConfig* queue = catalog_.FindQueue(request.queue);
+  if (!queue) return JobReply{ReplyKind::kNotOwner};
+  const int cell = request.moved
+                       ? ownership_.cell
+                       : surroundings_.choose_cell(ownership_.cell, request.job,
+                                                   request.spec);
+  if (cell != ownership_.cell) {
+    scheduler_.Moved().Add(request.job, cell, Now());
+    kLog.Info("event=job_moved job=" + request.job + " from=" +
+              std::to_string(ownership_.cell) + " to=" + std::to_string(cell));
+    return std::nullopt;
+  }
+  const jobs::SubmitVerdict verdict = scheduler_.Submit(
+      request.job, *queue, request.spec, clock_.Wall().count, Now());
+  if (verdict == jobs::SubmitVerdict::kTooManyJobs) {
+    return JobReply{ReplyKind::kBusy};
+  }
+  return std::nullopt;
+}
+
+net::asio::awaitable<JobReply> CellOwner::TellMoved(const JobRequest& request) {
+  const Millis until = Now() + Millis(request.patience_ms);
+  for (;;) {
+    const std::optional<int> cell = scheduler_.Moved().CellOf(request.job);
+    if (cell) co_return JobReply{ReplyKind::kMoved, *cell};
+    if (stopped_ || Now() >= until) co_return JobReply{ReplyKind::kInDoubt};
+    co_await flushed_.Wait();
+  }
+}
+
+net::asio::awaitable<void> CellOwner::CheckMoved() {
+  const auto self = shared_from_this();
+  const std::optional<std::string> job =
+      scheduler_.Moved().NextToCheck(settings_.scheduler.status_time, Now());
+  if (!job) co_return;
+  JobRequest request;
+  request.kind = RequestKind::kStatus;
+  request.job = *job;
+  request.moved = true;
+  request.cell = *scheduler_.Moved().CellOf(*job);
+  request.patience_ms = kCheckPatienceMs;
+  const JobReply reply = co_await surroundings_.ask(std::move(request));
+  if (stopped_ || reply.kind != ReplyKind::kNoSuchJob) co_return;
+  scheduler_.Moved().Drop(*job);
+  dirty_.NotifyAll();
+}
+
 net::asio::awaitable<JobReply> CellOwner::Cancel(const JobRequest& request) {
   if (!scheduler_.Knows(request.job)) {
     co_return JobReply{
--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -55,6 +55,7 @@
     return;
   }
   layout_ = ValueOf(decoded);
+  balancer_.emplace(layout_.cells);
   kLog.Info("event=layout cells=" + std::to_string(layout_.cells));
   for (int cell = 0; cell < layout_.cells; ++cell) {
     const std::uint64_t seed =
@@ -69,7 +70,8 @@
         },
         [this](std::string address, JobRequest request, Millis patience) {
           return AskPeer(std::move(address), std::move(request), patience);
-        }));
+        },
+        [this, cell](const CellLoad& load) { balancer_->OnLoad(cell, load); }));
     members_.back()->Start();
   }
 }
@@ -78,9 +80,17 @@
                                            std::function<bool()> is_fresh,
                                            std::function<void()> on_deposed) {
   FollowDirectory();
+  CellOwner::Surroundings surroundings;
+  surroundings.choose_cell = [this](int home, const std::string& job,
+                                    const jobs::JobSpec& spec) {
+    return balancer_->Choose(home, job, spec);
+  };
+  surroundings.ask = [this](JobRequest request) {
+    return Ask(std::move(request));
+  };
   auto owner = std::make_shared<CellOwner>(
       context_, store_, vm_client_, clock_, settings_.owner, ownership,
-      std::move(is_fresh), std::move(on_deposed));
+      std::move(surroundings), std::move(is_fresh), std::move(on_deposed));
   owner->OnCatalog(catalog_);
   for (const auto& [id, listing] : vms_) {
     if (layout_.CellOfRack(listing.rack) == ownership.cell) {
@@ -213,6 +223,11 @@
                                   : ReplyKind::kUnavailable};
     }
     JobReply reply = co_await AskOnce(request, left);
+    if (reply.kind == ReplyKind::kMoved && !request.moved) {
+      request.cell = reply.count;
+      request.moved = true;
+      continue;
+    }
     if (reply.kind == ReplyKind::kInDoubt) in_doubt = true;
     const bool again =
         reply.kind == ReplyKind::kNotOwner || reply.kind == ReplyKind::kInDoubt;
--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "cell/cell_balancer.h"
 #include "cell/cell_member.h"
 #include "cell/directory.h"
 #include "cell/layout.h"
@@ -57,6 +58,7 @@
 
  private:
   net::asio::awaitable<void> Run();
+  /// Asks the owner of the request's cell, and of that which took the job.
   net::asio::awaitable<JobReply> Ask(JobRequest request);
   net::asio::awaitable<JobReply> AskOnce(JobRequest request, Millis patience);
   net::asio::awaitable<JobReply> AskPeer(std::string address,
@@ -89,6 +91,7 @@
   bool writing_layout_ = false;
   bool leaving_ = false;
   std::vector<std::shared_ptr<CellMember>> members_;
+  std::optional<CellBalancer> balancer_;  ///< Once the layout is known.
 };
 
 }  // namespace basilspur::cell
--- a/src/libs/cell/owner_record.h
+++ b/src/libs/cell/owner_record.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "cell/cell_load.h"
+
 namespace basilspur::cell {
 
 /// An owner before, that may still act because nobody could tell it.
@@ -34,11 +36,12 @@
   std::int64_t term = 0;    ///< Counts ownerships from 1.
   bool vacant = false;      ///< The owner has given the cell up.
   std::vector<FormerOwner> former;  ///< Not known to be gone.
+  CellLoad load;                    ///< When the record was written.
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.node, self.incarnation, self.address, self.token, self.term,
-            self.vacant, self.former);
+            self.vacant, self.former, self.load);
   }
 };
 
--- a/src/libs/cell/peer_messages.h
+++ b/src/libs/cell/peer_messages.h
@@ -25,11 +25,12 @@
   jobs::JobSpec spec;            ///< kSubmit.
   std::int64_t patience_ms = 0;  ///< For the answer.
   std::int64_t token = -1;       ///< kStandDown: of the new ownership.
+  bool moved = false;  ///< The job's own cell has said that this one takes it.
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.kind, self.cell, self.queue, self.job, self.spec,
-            self.patience_ms, self.token);
+            self.patience_ms, self.token, self.moved);
   }
 };
 
@@ -48,6 +49,7 @@
   kInDoubt,      ///< It may have been stored or not.
   kStoodDown,    ///< The replying process does not own the cell.
   kNotOwner,     ///< Ask the owner; nothing was done.
+  kMoved,        ///< Ask the owner of cell `count`, which takes the job.
 };
 
 struct JobReply {
--- a/src/libs/jobs/job_progress.h
+++ b/src/libs/jobs/job_progress.h
@@ -64,6 +64,16 @@
   }
 };
 
+/// The journal's record of a job that another cell takes.
+struct MoveRecord {
+  int cell = 0;
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.cell);
+  }
+};
+
 /// The journal's record of how far a job is.
 struct ProgressRecord {
   std::vector<TaskRecord> tasks;
--- a/src/libs/jobs/journal_batch.h
+++ b/src/libs/jobs/journal_batch.h
@@ -22,6 +22,7 @@
   std::vector<JournalEntry> entries;
   std::map<std::string, JobStatus> jobs;     ///< As of this batch.
   std::map<std::string, std::int64_t> ends;  ///< By VM, the newest taken in.
+  std::vector<std::string> moved;            ///< Jobs that other cells take.
 };
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -188,7 +188,12 @@
                       CellSummary& summary) {
   for (const Task& task : step.tasks) {
     summary.runs += static_cast<int>(task.runs.size());
-    if (task.done || !task.runs.empty()) continue;
+    if (task.done) continue;
+    if (spec.best_effort) {
+      summary.best_effort_cpu_millis += spec.need.cpu_millis;
+    }
+    if (!task.runs.empty()) continue;
+    if (!spec.best_effort) summary.waiting_cpu_millis += spec.need.cpu_millis;
     ++summary.waiting_tasks;
     if (spec.long_running) ++summary.waiting_long_running;
     if (spec.best_effort) ++summary.waiting_best_effort;
@@ -216,6 +221,7 @@
     if (!vm->listed) continue;
     if (!vm->reachable) ++summary.unreachable_vms;
     summary.free_cpu_millis += vm->Free().cpu_millis;
+    summary.room_cpu_millis += vm->listing.room.cpu_millis;
   }
   return summary;
 }
@@ -236,7 +242,8 @@
 }
 
 bool Scheduler::HasBatch() const {
-  return !dirty_.empty() || !dropped_.empty() || !new_ends_.empty();
+  return !dirty_.empty() || !dropped_.empty() || !new_ends_.empty() ||
+         moved_.HasChanges();
 }
 
 JournalBatch Scheduler::TakeBatch(std::int64_t wall_ms) {
@@ -268,6 +275,7 @@
     batch.entries.push_back(
         {"v" + vm, records::Encode(VmRecord{end, address})});
   }
+  moved_.TakeChanges(batch);
   batch.ends = std::move(new_ends_);
   new_ends_.clear();
   return batch;
@@ -287,6 +295,7 @@
     Vm* vm = FindVm(id);
     if (vm) vm->durable_end = end;
   }
+  moved_.OnDurable(batch);
 }
 
 void Scheduler::ForgetEndedJobs(std::int64_t wall_ms) {
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -14,6 +14,7 @@
 #include "jobs/catalog.h"
 #include "jobs/job.h"
 #include "jobs/journal_batch.h"
+#include "jobs/moved_jobs.h"
 #include "jobs/order.h"
 #include "jobs/placer.h"
 #include "jobs/scheduler_settings.h"
@@ -36,7 +37,10 @@
   int waiting_best_effort = 0;
   int runs = 0;
   int unreachable_vms = 0;
+  std::int64_t room_cpu_millis = 0;
   std::int64_t free_cpu_millis = 0;
+  std::int64_t waiting_cpu_millis = 0;      ///< Of charged tasks that wait.
+  std::int64_t best_effort_cpu_millis = 0;  ///< Running or waiting.
   Millis oldest_wait;  ///< Of a job with a task that could run.
 };
 
@@ -127,6 +131,9 @@
   std::vector<VmListing> VmsToRenew() const;
   std::size_t ActiveJobs() const { return active_.size(); }
   CellSummary Summary(Millis now) const;
+  /// Jobs that other cells took.
+  MovedJobs& Moved() { return moved_; }
+  const MovedJobs& Moved() const { return moved_; }
 
  private:
   /// Urgent queues first, then first come, first served.
@@ -180,6 +187,7 @@
   SchedulerSettings settings_;
   Catalog catalog_;
   ServiceOrder order_;
+  MovedJobs moved_;
   TailWatch tails_;
   Placer placer_;
   std::map<std::string, std::unique_ptr<Job>> jobs_;
--- /dev/null
+++ b/tests/auto/cell/cell_balancer_test.cc
@@ -0,0 +1,86 @@
+#include "cell/cell_balancer.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+using namespace basilspur;        // NOLINT(google-build-using-namespace)
+using namespace basilspur::cell;  // NOLINT(google-build-using-namespace)
+
+static constexpr int kCells = 6;
+static constexpr std::int64_t kRoom = 1'000'000;
+
+static jobs::JobSpec MakeJob(std::int64_t cpu_millis, int count,
+                             bool best_effort) {
+  jobs::StepSpec step;
+  step.count = count;
+  step.need.cpu_millis = cpu_millis;
+  step.best_effort = best_effort;
+  jobs::JobSpec job;
+  job.steps = {step};
+  return job;
+}
+
+static CellBalancer MakeBalancer(std::int64_t charged) {
+  CellBalancer balancer(kCells);
+  for (int cell = 0; cell < kCells; ++cell) {
+    balancer.OnLoad(cell, {kRoom, charged, 0, 0});
+  }
+  return balancer;
+}
+
+static std::string IdOf(int number) { return "job-" + std::to_string(number); }
+
+TEST_CASE("a job stays at home while loads are alike") {
+  CellBalancer balancer = MakeBalancer(500'000);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(balancer.Choose(i % kCells, IdOf(i), MakeJob(500, 2, false)) ==
+          i % kCells);
+  }
+}
+
+TEST_CASE("a job stays at home while no load is known") {
+  CellBalancer balancer(kCells);
+  CHECK(balancer.Choose(2, IdOf(1), MakeJob(5'000, 20, false)) == 2);
+}
+
+TEST_CASE("wide jobs that all belong to one cell spread over the others") {
+  CellBalancer balancer = MakeBalancer(500'000);
+  std::vector<int> taken(kCells);
+  for (int i = 0; i < 60; ++i) {
+    ++taken[balancer.Choose(0, IdOf(i), MakeJob(6'000, 5, false))];
+  }
+  for (const int jobs : taken) {
+    CHECK(jobs >= 5);
+    CHECK(jobs <= 20);
+  }
+}
+
+TEST_CASE("a full cell gives no job to one that is as full") {
+  CellBalancer balancer = MakeBalancer(980'000);
+  balancer.OnLoad(3, {kRoom, 400'000, 0, 0});
+  for (int i = 0; i < 30; ++i) {
+    balancer.OnLoad(0, {kRoom, 980'000, 0, 0});
+    const int cell = balancer.Choose(0, IdOf(i), MakeJob(6'000, 5, false));
+    CHECK((cell == 0 || cell == 3));
+  }
+}
+
+TEST_CASE("best-effort jobs go by best-effort work, not by what is charged") {
+  CellBalancer balancer = MakeBalancer(500'000);
+  balancer.OnLoad(0, {kRoom, 500'000, 0, 600'000});
+  int moved = 0;
+  for (int i = 0; i < 10; ++i) {
+    if (balancer.Choose(0, IdOf(i), MakeJob(1'800, 8, true)) != 0) ++moved;
+  }
+  CHECK(moved == 10);
+  CHECK(balancer.Choose(0, IdOf(99), MakeJob(1'800, 8, false)) == 0);
+}
+
+TEST_CASE("a cell whose owner has not told its load gets no job of another") {
+  CellBalancer balancer = MakeBalancer(980'000);
+  balancer.OnLoad(3, {});
+  for (int i = 0; i < 20; ++i) {
+    CHECK(balancer.Choose(0, IdOf(i), MakeJob(6'000, 5, false)) != 3);
+  }
+}
--- a/tests/system/platform_cell.cc
+++ b/tests/system/platform_cell.cc
@@ -9,9 +9,11 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "cell/layout.h"
 #include "fakes/free_address.h"
 #include "net/address.h"
 #include "net/http_client.h"
+#include "records/codec.h"
 
 namespace basilspur::system_test {
 
@@ -27,8 +29,8 @@
   return path;
 }
 
-PlatformCell::PlatformCell(int entries, int workers)
-    : folder_(MakeFolder()), entries_(entries) {
+PlatformCell::PlatformCell(int entries, int workers, int cells)
+    : cells_(cells), folder_(MakeFolder()), entries_(entries) {
   store_address_ = fakes::FreeAddress();
   net::ServeHttp(context_, store_address_, [this](net::HttpRequest request) {
     return store.Answer(std::move(request));
@@ -48,6 +50,7 @@
                 "path_prefix":"/q/","service":"s","attempts":2}],
                 "services":[{"name":"s"}]})");
   ListWorkers();
+  if (cells > 1) FixLayout();
   for (int i = 0; i < entries; ++i) {
     addresses_.push_back(
         {fakes::FreeAddress(), fakes::FreeAddress(), fakes::FreeAddress()});
@@ -62,13 +65,24 @@
   thread_.join();
 }
 
+static std::string RackOf(int cell) { return "r" + std::to_string(cell + 1); }
+
+void PlatformCell::FixLayout() {
+  cell::Layout layout;
+  layout.cells = cells_;
+  for (int cell = 0; cell < cells_; ++cell) layout.racks[RackOf(cell)] = cell;
+  const records::Bytes bytes = records::Encode(layout);
+  store.Put("keyed.layout", "layout", std::string(bytes.begin(), bytes.end()));
+}
+
 void PlatformCell::ListWorkers() {
   for (std::size_t i = 0; i < worker_addresses_.size(); ++i) {
-    const Json entry = {{"service", "s"},
-                        {"address", worker_addresses_[i]},
-                        {"state", "ready"},
-                        {"room", {{"cpu", 4'000}, {"mem_mb", 8'000}}},
-                        {"labels", {"a", "r1"}}};
+    const Json entry = {
+        {"service", "s"},
+        {"address", worker_addresses_[i]},
+        {"state", "ready"},
+        {"room", {{"cpu", 4'000}, {"mem_mb", 8'000}}},
+        {"labels", {"a", RackOf(static_cast<int>(i) % cells_)}}};
     store.Put("keyed.servers", "i-" + std::to_string(i), entry.dump());
   }
   store.Put("keyed.servers", "i-other", "an entry of another writer");
@@ -174,6 +188,18 @@
   return text.str();
 }
 
+int PlatformCell::CountLogged(const std::string& text) const {
+  int count = 0;
+  for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
+    const std::string log = LogOf(static_cast<int>(entry));
+    for (auto at = log.find(text); at != std::string::npos;
+         at = log.find(text, at + text.size())) {
+      ++count;
+    }
+  }
+  return count;
+}
+
 int PlatformCell::OwnerOf() {
   for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
     const std::string log = LogOf(static_cast<int>(entry));
--- a/tests/system/platform_cell.h
+++ b/tests/system/platform_cell.h
@@ -17,7 +17,9 @@
 /// its store and its executors in this process.
 class PlatformCell {
  public:
-  PlatformCell(int entries, int workers);
+  /// With several cells, workers are dealt to them in turn, and jobs of
+  /// `cells` to their own by their ids.
+  PlatformCell(int entries, int workers, int cells = 1);
   ~PlatformCell();
 
   /// Starts an entry, or starts it again.
@@ -40,6 +42,8 @@
                     Millis patience = Millis(10'000));
   /// The entry that owns the cell, as its log says; -1: none.
   int OwnerOf();
+  /// Lines that the entries have logged, with `text` in them.
+  int CountLogged(const std::string& text) const;
 
   standins::StoreStandin store;
   std::vector<std::unique_ptr<standins::WorkerStandin>> workers;
@@ -47,8 +51,10 @@
 
  private:
   void ListWorkers();
+  void FixLayout();
   std::string LogOf(int entry) const;
 
+  int cells_;
   net::asio::io_context context_;
   std::string store_address_;
   std::vector<std::string> worker_addresses_;
--- a/tests/system/platform_test.cc
+++ b/tests/system/platform_test.cc
@@ -163,3 +163,26 @@
     CHECK(history.starts == 1);
   }
 }
+
+TEST_CASE("a full cell's jobs go to another, and are found at every entry") {
+  PlatformCell cell(3, 2, /*cells=*/2);
+  cell.WaitUntilReady();
+  // The owners tell their loads once a second; wide jobs wait meanwhile.
+  const int jobs = 10;
+  for (int job = 0; job < jobs; ++job) {
+    CHECK(cell.Submit(job % 3, JobId(job), 4, "600") == 200);
+    CHECK(cell.Submit((job + 1) % 3, JobId(job), 4, "600") == 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  }
+  CHECK(cell.CountLogged("event=job_moved") > 0);
+  for (int entry = 0; entry < 3; ++entry) cell.Signal(entry, SIGKILL);
+  for (int entry = 0; entry < 3; ++entry) cell.Wait(entry);
+  for (int entry = 0; entry < 3; ++entry) cell.StartEntry(entry);
+  cell.WaitUntilReady();
+  for (int job = 0; job < jobs; ++job) {
+    CAPTURE(job);
+    CHECK(cell.Submit(job % 3, JobId(job), 4, "600") == 200);
+    CHECK(cell.WaitForState(job % 3, JobId(job), "done", Millis(30'000)));
+  }
+  CheckDoneOnce(cell, jobs, 4);
+}
