Owners tell what they learned of tails, for their successors and each other

Cause: after each change of owner, and in each of the grown sites' cells, all pairs of images were learned anew; each first meeting of a pair that disturbs puts tails over their target. CellMember's callbacks are one struct now.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -8,6 +8,8 @@
 
 static constexpr LogCategory kLog("member");
 static constexpr char kOwnerKey[] = "owner";
+static constexpr char kTailsKey[] = "tails";
+static constexpr Millis kTailsInterval(3'000);
 static constexpr Millis kDrainPatience(800);
 static constexpr Millis kDismissPatience(800);
 static constexpr Millis kDismissRetry(300);
@@ -17,7 +19,7 @@
 CellMember::CellMember(net::asio::io_context& context, Store& store,
                        const Clock& clock, Identity identity,
                        ElectionSettings settings, int cell, std::uint64_t seed,
-                       MakeOwner make_owner, AskPeer ask_peer, OnLoad on_load)
+                       Surroundings surroundings)
     : context_(context),
       store_(store),
       clock_(clock),
@@ -25,9 +27,7 @@
       cell_(cell),
       partition_{"keyed.owners", cell},
       election_(settings, identity_.node, identity_.incarnation, seed),
-      make_owner_(std::move(make_owner)),
-      ask_peer_(std::move(ask_peer)),
-      on_load_(std::move(on_load)) {}
+      surroundings_(std::move(surroundings)) {}
 
 void CellMember::Start() {
   const auto self = shared_from_this();
@@ -41,6 +41,11 @@
 }
 
 void CellMember::OnRecord(const KeyedRecord& record) {
+  if (record.key == kOwnerKey) OnOwnerRecord(record);
+  if (record.key == kTailsKey) surroundings_.on_tails(record.value);
+}
+
+void CellMember::OnOwnerRecord(const KeyedRecord& record) {
   const auto decoded = records::Decode<OwnerRecord>(record.value);
   if (!IsOk(decoded)) {
     kLog.Error("event=owner_record_unreadable cell=" + std::to_string(cell_) +
@@ -56,7 +61,7 @@
               owner->node + " token=" + std::to_string(owner->token) +
               " offset=" + std::to_string(record.offset));
   }
-  if (owner) on_load_(owner->load);
+  if (owner) surroundings_.on_load(owner->load);
   Follow();
 }
 
@@ -70,7 +75,7 @@
   ownership.token = election_.Token();
   ownership.term = election_.Term();
   ownership.handed_over = election_.WasHandedOver();
-  owner_ = make_owner_(
+  owner_ = surroundings_.make_owner(
       ownership,
       [self] { return self->election_.IsFresh(self->clock_.Monotonic()); },
       [self, token = owner_token_] {
@@ -95,8 +100,8 @@
     request.kind = RequestKind::kStandDown;
     request.cell = cell_;
     request.token = token;
-    const JobReply reply =
-        co_await ask_peer_(former.address, request, kDismissPatience);
+    const JobReply reply = co_await surroundings_.ask_peer(
+        former.address, request, kDismissPatience);
     if (owner_token_ != token) co_return;
     gone = reply.kind == ReplyKind::kStoodDown;
     if (!gone) co_await net::Sleep(kDismissRetry);
@@ -152,6 +157,12 @@
   if (renewal && owner_) record.load = owner_->Load();
   const KeyedRecord written{kOwnerKey, records::Encode(record), 0};
   std::vector<KeyedRecord> records(1, written);
+  if (renewal && owner_ && sent - tails_told_ >= kTailsInterval) {
+    tails_told_ = sent;
+    records.push_back(
+        {kTailsKey, records::Encode(owner_->State().Tails().Learned()), 0});
+  }
+  const auto count = static_cast<std::int64_t>(records.size());
   const AppendAnswer answer =
       co_await store_.AppendAt(partition_, election_.End(), std::move(records));
   const Millis now = clock_.Monotonic();
@@ -159,8 +170,8 @@
     case AppendVerdict::kAppended:
       if (renewal) {
         if (election_.Token() == record.token) {
-          election_.OnRenewed(answer.offset, sent, now);
-          on_load_(record.load);
+          election_.OnRenewed(answer.offset + count - 1, sent, now);
+          surroundings_.on_load(record.load);
         }
       } else {
         OnRecord({kOwnerKey, written.value, answer.offset});
@@ -181,7 +192,7 @@
   if (!IsOk(read)) co_return;
   const Millis now = clock_.Monotonic();
   for (const KeyedRecord& record : ValueOf(read).records) {
-    if (record.key == kOwnerKey) OnRecord(record);
+    OnRecord(record);
   }
   election_.OnEnd(ValueOf(read).end, now);
   // The newest record is this owner's, so nobody had come in by `sent`.
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -23,22 +23,28 @@
     std::string incarnation;
     std::string peer_address;
   };
-  /// Makes the owner of an ownership that has begun, with the catalog and the
-  /// VMs known.
-  /// Sends a request to the entry at an address.
-  using AskPeer = std::function<net::asio::awaitable<JobReply>(
-      std::string address, JobRequest request, Millis patience)>;
-  /// The cell's owner has told how full the cell is.
-  using OnLoad = std::function<void(const CellLoad& load)>;
-  using MakeOwner = std::function<std::shared_ptr<CellOwner>(
-      CellOwner::Ownership ownership, std::function<bool()> is_fresh,
-      std::function<void()> on_deposed)>;
+  /// What a member asks of the entry that it is part of, and tells it.
+  struct Surroundings {
+    /// Makes the owner of an ownership that has begun, with the catalog and
+    /// the VMs known.
+    std::function<std::shared_ptr<CellOwner>(CellOwner::Ownership ownership,
+                                             std::function<bool()> is_fresh,
+                                             std::function<void()> on_deposed)>
+        make_owner;
+    /// Sends a request to the entry at an address.
+    std::function<net::asio::awaitable<JobReply>(
+        std::string address, JobRequest request, Millis patience)>
+        ask_peer;
+    /// The cell's owner has told how full the cell is.
+    std::function<void(const CellLoad& load)> on_load;
+    /// The cell's owner has told what it learned of tails, encoded.
+    std::function<void(const records::Bytes& record)> on_tails;
+  };
 
   /// Precondition: the references outlive the object.
   CellMember(net::asio::io_context& context, Store& store, const Clock& clock,
              Identity identity, ElectionSettings settings, int cell,
-             std::uint64_t seed, MakeOwner make_owner, AskPeer ask_peer,
-             OnLoad on_load);
+             std::uint64_t seed, Surroundings surroundings);
 
   void Start();
   /// Looks at what time alone changes. `owned`: cells this node owns.
@@ -58,6 +64,7 @@
 
  private:
   void OnRecord(const KeyedRecord& record);
+  void OnOwnerRecord(const KeyedRecord& record);
   void Follow();
   net::asio::awaitable<void> AppendRecord(OwnerRecord record);
   net::asio::awaitable<void> LookAgain(Millis sent);
@@ -71,9 +78,8 @@
   int cell_;
   Partition partition_;
   Election election_;
-  MakeOwner make_owner_;
-  AskPeer ask_peer_;
-  OnLoad on_load_;
+  Surroundings surroundings_;
+  Millis tails_told_;
   std::shared_ptr<TopicWatcher> watcher_;
   std::shared_ptr<CellOwner> owner_;
   std::int64_t owner_token_ = -1;
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -192,6 +192,14 @@
       " oldest_wait_ms=" + std::to_string(summary.oldest_wait.count));
 }
 
+void CellOwner::RestoreTails(const jobs::TailRecord& record) {
+  scheduler_.Tails().Restore(record);
+}
+
+void CellOwner::LearnTails(int cell, const jobs::TailRecord& record) {
+  scheduler_.Tails().LearnFrom(std::to_string(cell), record);
+}
+
 CellLoad CellOwner::Load() const {
   if (!ready_) return {};
   const jobs::CellSummary summary = scheduler_.Summary(Now());
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -82,6 +82,10 @@
   void Stop();
   bool IsReady() const { return ready_; }
   const jobs::Scheduler& State() const { return scheduler_; }
+  /// Goes on from what the last owner of this cell had learned of tails.
+  void RestoreTails(const jobs::TailRecord& record);
+  /// Takes in what the owner of another cell has learned of tails.
+  void LearnTails(int cell, const jobs::TailRecord& record);
   /// How full the cell is; its room is 0 until the owner is ready.
   CellLoad Load() const;
 
--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -62,20 +62,31 @@
         StableHash(settings_.identity.incarnation + "/" + std::to_string(cell));
     members_.push_back(std::make_shared<CellMember>(
         context_, store_, clock_, settings_.identity, settings_.election, cell,
-        seed,
-        [this](CellOwner::Ownership ownership, std::function<bool()> is_fresh,
-               std::function<void()> on_deposed) {
-          return MakeOwner(ownership, std::move(is_fresh),
-                           std::move(on_deposed));
-        },
-        [this](std::string address, JobRequest request, Millis patience) {
-          return AskPeer(std::move(address), std::move(request), patience);
-        },
-        [this, cell](const CellLoad& load) { balancer_->OnLoad(cell, load); }));
+        seed, MakeSurroundings(cell)));
     members_.back()->Start();
   }
 }
 
+CellMember::Surroundings Node::MakeSurroundings(int cell) {
+  CellMember::Surroundings surroundings;
+  surroundings.make_owner = [this](CellOwner::Ownership ownership,
+                                   std::function<bool()> is_fresh,
+                                   std::function<void()> on_deposed) {
+    return MakeOwner(ownership, std::move(is_fresh), std::move(on_deposed));
+  };
+  surroundings.ask_peer = [this](std::string address, JobRequest request,
+                                 Millis patience) {
+    return AskPeer(std::move(address), std::move(request), patience);
+  };
+  surroundings.on_load = [this, cell](const CellLoad& load) {
+    balancer_->OnLoad(cell, load);
+  };
+  surroundings.on_tails = [this, cell](const records::Bytes& record) {
+    OnTails(cell, record);
+  };
+  return surroundings;
+}
+
 std::shared_ptr<CellOwner> Node::MakeOwner(CellOwner::Ownership ownership,
                                            std::function<bool()> is_fresh,
                                            std::function<void()> on_deposed) {
@@ -92,6 +103,7 @@
       context_, store_, vm_client_, clock_, settings_.owner, ownership,
       std::move(surroundings), std::move(is_fresh), std::move(on_deposed));
   owner->OnCatalog(catalog_);
+  TeachTails(*owner, ownership.cell);
   for (const auto& [id, listing] : vms_) {
     if (layout_.CellOfRack(listing.rack) == ownership.cell) {
       owner->OnVmListed(listing);
@@ -100,6 +112,33 @@
   return owner;
 }
 
+void Node::TeachTails(CellOwner& owner, int owned) {
+  for (const auto& [cell, bytes] : tails_) {
+    const auto record = records::Decode<jobs::TailRecord>(bytes);
+    if (!IsOk(record)) continue;
+    if (cell == owned) {
+      owner.RestoreTails(ValueOf(record));
+    } else {
+      owner.LearnTails(cell, ValueOf(record));
+    }
+  }
+}
+
+void Node::OnTails(int cell, const records::Bytes& bytes) {
+  tails_[cell] = bytes;
+  if (OwnedCells() == 0) return;
+  const auto record = records::Decode<jobs::TailRecord>(bytes);
+  if (!IsOk(record)) {
+    kLog.Error("event=tails_unreadable cell=" + std::to_string(cell) +
+               " error=\"" + ErrorOf(record).ToString() + "\"");
+    return;
+  }
+  for (int other = 0; other < layout_.cells; ++other) {
+    CellOwner* owner = members_[other]->Owner();
+    if (owner && other != cell) owner->LearnTails(cell, ValueOf(record));
+  }
+}
+
 void Node::FollowDirectory() {
   if (directory_started_) return;
   directory_started_ = true;
--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -66,6 +66,10 @@
   net::asio::awaitable<JobReply> CountAll(JobRequest request);
   net::asio::awaitable<void> WriteLayout();
   void OnLayout(const KeyedRecord& record);
+  CellMember::Surroundings MakeSurroundings(int cell);
+  /// Tells a new owner of the cell `owned` what owners have learned of tails.
+  void TeachTails(CellOwner& owner, int owned);
+  void OnTails(int cell, const records::Bytes& record);
   void OnListed(const jobs::VmListing& listing);
   void OnGone(const std::string& id);
   void FollowDirectory();
@@ -91,6 +95,8 @@
   bool writing_layout_ = false;
   bool leaving_ = false;
   std::vector<std::shared_ptr<CellMember>> members_;
+  /// What the cells' owners have learned of tails, encoded, by cell.
+  std::map<int, records::Bytes> tails_;
   std::optional<CellBalancer> balancer_;  ///< Once the layout is known.
 };
 
--- a/src/libs/interference/interference_model.cc
+++ b/src/libs/interference/interference_model.cc
@@ -123,6 +123,28 @@
   for (auto& [pair, estimate] : own_) estimate.told_variance = 0;
 }
 
+std::vector<PairEstimate> InterferenceModel::Own() const {
+  const std::lock_guard lock(mutex_);
+  std::vector<PairEstimate> all;
+  all.reserve(own_.size());
+  for (const auto& [pair, estimate] : own_) {
+    all.push_back(
+        {pair.first, pair.second, estimate.weight, estimate.variance});
+  }
+  return all;
+}
+
+void InterferenceModel::Restore(std::span<const PairEstimate> estimates) {
+  const std::lock_guard lock(mutex_);
+  for (const auto& estimate : estimates) {
+    if (!(estimate.variance > 0)) continue;
+    const Pair pair{estimate.service, estimate.kind};
+    own_[pair].weight = estimate.weight;
+    own_[pair].variance = estimate.variance;
+    Join(pair);
+  }
+}
+
 void InterferenceModel::TakePeer(const std::string& peer,
                                  std::span<const PairEstimate> estimates) {
   const std::lock_guard lock(mutex_);
--- a/src/libs/interference/interference_model.h
+++ b/src/libs/interference/interference_model.h
@@ -48,6 +48,12 @@
   /// All own estimates count as changed, for peers that have come up.
   void MarkAllChanged();
 
+  /// All that this entry has measured itself.
+  std::vector<PairEstimate> Own() const;
+
+  /// Takes estimates as measured by this entry, as its predecessor left them.
+  void Restore(std::span<const PairEstimate> estimates);
+
   /// Takes in what a peer has measured anew.
   void TakePeer(const std::string& peer,
                 std::span<const PairEstimate> estimates);
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -131,6 +131,9 @@
   std::vector<VmListing> VmsToRenew() const;
   std::size_t ActiveJobs() const { return active_.size(); }
   CellSummary Summary(Millis now) const;
+  /// What is known of tails and of the images that raise them.
+  TailWatch& Tails() { return tails_; }
+  const TailWatch& Tails() const { return tails_; }
   /// Jobs that other cells took.
   MovedJobs& Moved() { return moved_; }
   const MovedJobs& Moved() const { return moved_; }
--- a/src/libs/jobs/tail_watch.cc
+++ b/src/libs/jobs/tail_watch.cc
@@ -19,6 +19,10 @@
 static constexpr double kAlmostAlone = 0.15;
 /// Shares below this leave a tail as it is.
 static constexpr double kNoShare = 0.005;
+/// Weights that are known no better than this are not worth telling.
+static constexpr double kTellVariance = 2.0;
+static constexpr double kPercent = 100;
+static constexpr double kMicrosPerMilli = 1'000;
 /// A run that adds less than this, as a share of the target, may always come.
 static constexpr double kNegligible = 0.02;
 /// A throttled run gets this share of its pace, and from a floor on none.
@@ -110,6 +114,54 @@
   return all;
 }
 
+TailRecord TailWatch::Learned() const {
+  TailRecord record;
+  for (const auto& estimate : model_.Own()) {
+    if (estimate.variance > kTellVariance) continue;
+    record.pairs.push_back(
+        {estimate.service, estimate.kind,
+         static_cast<std::int64_t>(estimate.weight * kPercent),
+         static_cast<std::int64_t>(estimate.variance * kPercent) + 1});
+  }
+  for (const auto& [image, base] : bases_) {
+    record.bases.push_back(
+        {image, static_cast<std::int64_t>(base.mean_ms * kMicrosPerMilli),
+         base.measurements});
+  }
+  return record;
+}
+
+static std::vector<interference::PairEstimate> EstimatesOf(
+    const TailRecord& record) {
+  std::vector<interference::PairEstimate> estimates;
+  for (const TailPairRecord& pair : record.pairs) {
+    estimates.push_back(
+        {pair.served, pair.image,
+         static_cast<double>(pair.weight_percent) / kPercent,
+         static_cast<double>(pair.variance_percent) / kPercent});
+  }
+  return estimates;
+}
+
+void TailWatch::Restore(const TailRecord& record) {
+  model_.Restore(EstimatesOf(record));
+  LearnBases(record);
+}
+
+void TailWatch::LearnFrom(const std::string& cell, const TailRecord& record) {
+  model_.TakePeer(cell, EstimatesOf(record));
+  LearnBases(record);
+}
+
+void TailWatch::LearnBases(const TailRecord& record) {
+  for (const TailBaseRecord& told : record.bases) {
+    Base& base = bases_[told.image];
+    if (base.measurements >= told.measurements) continue;
+    base.mean_ms = static_cast<double>(told.mean_us) / kMicrosPerMilli;
+    base.measurements = told.measurements;
+  }
+}
+
 int TailWatch::PaceFor(const Vm& vm, const std::string& image,
                        std::int64_t cpu_millis) const {
   if (vm.Serving() == 0) return 100;
--- a/src/libs/jobs/tail_watch.h
+++ b/src/libs/jobs/tail_watch.h
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "interference/interference_model.h"
+#include "jobs/tail_record.h"
 #include "jobs/vm.h"
 #include "jobs/vm_report.h"
 
@@ -41,6 +42,13 @@
   /// Decides the paces of the VM's best-effort runs anew.
   void Pace(Vm& vm, Millis now);
 
+  /// What was learned here.
+  TailRecord Learned() const;
+  /// Goes on from what an earlier owner of the cell had learned.
+  void Restore(const TailRecord& record);
+  /// Takes in what the owner of another cell has learned.
+  void LearnFrom(const std::string& cell, const TailRecord& record);
+
  private:
   /// The tail of an image's tasks with nothing beside them.
   struct Base {
@@ -50,6 +58,7 @@
 
   std::vector<TailLine> LinesOf(const Vm& vm, const std::string& image) const;
   double BaseOf(const std::string& image, std::int64_t target_ms) const;
+  void LearnBases(const TailRecord& record);
   void LearnBase(const RunOnVm& run, double alone_ms);
   void Throttle(Vm& vm, const RunOnVm& victim, Millis now);
   void Release(Vm& vm, Millis now);
--- a/tests/auto/jobs/tail_watch_test.cc
+++ b/tests/auto/jobs/tail_watch_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "records/codec.h"
+
 using namespace basilspur;        // NOLINT(google-build-using-namespace)
 using namespace basilspur::jobs;  // NOLINT(google-build-using-namespace)
 
@@ -149,3 +151,27 @@
   CHECK(watch.PaceFor(vm, "light", 200) == 100);
   CHECK(watch.PaceFor(vm, "heavy", 2'000) < 100);
 }
+
+TEST_CASE("a new owner goes on from what the last one had learned") {
+  TailWatch before{TailSettings{}};
+  Teach(before, "heavy", 40);
+  Teach(before, "light", kBaseMs);
+  const auto told =
+      records::Decode<TailRecord>(records::Encode(before.Learned()));
+  REQUIRE(IsOk(told));
+  TailWatch after{TailSettings{}};
+  REQUIRE(after.PaceFor(MakeVm(), "heavy", 2'000) == 100);
+  after.Restore(ValueOf(told));
+  CHECK(after.PaceFor(MakeVm(), "heavy", 2'000) < 50);
+  CHECK(after.PaceFor(MakeVm(), "light", 2'000) == 100);
+  CHECK(after.Learned().pairs.size() == before.Learned().pairs.size());
+}
+
+TEST_CASE("what another cell has learned is used, and not told as one's own") {
+  TailWatch other{TailSettings{}};
+  Teach(other, "heavy", 40);
+  TailWatch watch{TailSettings{}};
+  watch.LearnFrom("1", other.Learned());
+  CHECK(watch.PaceFor(MakeVm(), "heavy", 2'000) < 50);
+  CHECK(watch.Learned().pairs.empty());
+}
