--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -1,5 +1,6 @@
 #include "cell/cell_member.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/logging.h"
@@ -52,6 +53,7 @@
                " error=\"" + ErrorOf(decoded).ToString() + "\"");
     return;
   }
+  NoteSilentVms(ValueOf(decoded));
   const std::string before =
       election_.Owner() ? election_.Owner()->incarnation : "";
   election_.OnRecord(ValueOf(decoded), record.offset, clock_.Monotonic());
@@ -65,6 +67,27 @@
   Follow();
 }
 
+void CellMember::NoteSilentVms(const OwnerRecord& record) {
+  // The record that begins an ownership hands on what was told before.
+  const bool begins = record.token < 0;
+  if (begins && record.incarnation == identity_.incarnation) return;
+  const Millis now = clock_.Monotonic();
+  silent_.clear();
+  for (const SilentVmRecord& vm : record.silent) {
+    silent_.push_back({vm.vm, now + Millis(vm.lease_left_ms)});
+  }
+}
+
+static std::vector<SilentVmRecord> ToRecords(
+    const std::vector<jobs::SilentVm>& silent, Millis now) {
+  std::vector<SilentVmRecord> records;
+  for (const jobs::SilentVm& vm : silent) {
+    const Millis left = std::max(vm.lapse - now, Millis(0));
+    records.push_back({vm.vm, left.count});
+  }
+  return records;
+}
+
 void CellMember::Follow() {
   if (owner_ && election_.Token() != owner_token_) DropOwner();
   if (owner_ || !election_.Owns() || leaving_) return;
@@ -75,6 +98,8 @@
   ownership.token = election_.Token();
   ownership.term = election_.Term();
   ownership.handed_over = election_.WasHandedOver();
+  ownership.records_whole = election_.HasWholeRecords();
+  ownership.silent = silent_;
   owner_ = surroundings_.make_owner(
       ownership,
       [self] { return self->election_.IsFresh(self->clock_.Monotonic()); },
@@ -154,7 +179,15 @@
   appending_ = true;
   const Millis sent = clock_.Monotonic();
   const bool renewal = record.token >= 0;
-  if (renewal && owner_) record.load = owner_->Load();
+  std::vector<jobs::SilentVm> silent;
+  const std::shared_ptr<CellOwner> owner = renewal ? owner_ : nullptr;
+  if (owner) {
+    record.load = owner->Load();
+    silent = owner->TellSilentVms();
+    record.silent = ToRecords(silent, sent);
+  } else if (!renewal) {
+    record.silent = ToRecords(silent_, sent);
+  }
   const KeyedRecord written{kOwnerKey, records::Encode(record), 0};
   std::vector<KeyedRecord> records(1, written);
   if (renewal && owner_ && sent - tails_told_ >= kTailsInterval) {
@@ -172,6 +205,8 @@
         if (election_.Token() == record.token) {
           election_.OnRenewed(answer.offset + count - 1, sent, now);
           surroundings_.on_load(record.load);
+          NoteSilentVms(record);
+          if (owner) owner->OnSilentVmsTold(silent);
         }
       } else {
         OnRecord({kOwnerKey, written.value, answer.offset});
@@ -209,10 +244,16 @@
   const auto self = shared_from_this();
   leaving_ = true;
   if (!owner_ || !election_.Owns()) co_return;
-  co_await owner_->Drain(kDrainPatience);
+  const bool whole = co_await owner_->Drain(kDrainPatience);
+  if (!owner_) co_return;
   OwnerRecord record = election_.RenewalRecord(identity_.peer_address);
   record.vacant = true;
+  record.whole = whole;
+  record.silent = ToRecords(owner_->TellSilentVms(), clock_.Monotonic());
   const KeyedRecord written{kOwnerKey, records::Encode(record), 0};
+  kLog.Info("event=handing_over cell=" + std::to_string(cell_) +
+            " token=" + std::to_string(record.token) +
+            " whole=" + std::to_string(static_cast<int>(whole)));
   DropOwner();
   for (int attempt = 0; attempt < kVacateTries; ++attempt) {
     std::vector<KeyedRecord> records(1, written);
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -65,6 +65,7 @@
  private:
   void OnRecord(const KeyedRecord& record);
   void OnOwnerRecord(const KeyedRecord& record);
+  void NoteSilentVms(const OwnerRecord& record);
   void Follow();
   net::asio::awaitable<void> AppendRecord(OwnerRecord record);
   net::asio::awaitable<void> LookAgain(Millis sent);
@@ -83,6 +84,8 @@
   std::shared_ptr<TopicWatcher> watcher_;
   std::shared_ptr<CellOwner> owner_;
   std::int64_t owner_token_ = -1;
+  /// Named by the last record of another ownership.
+  std::vector<jobs::SilentVm> silent_;
   bool appending_ = false;
   bool leaving_ = false;
 };
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -57,10 +57,11 @@
   const Millis began = Now();
   if (!co_await BeginEpoch()) co_return false;
   if (!co_await ReadJournal()) co_return false;
+  for (const jobs::SilentVm& vm : ownership_.silent) scheduler_.BoundLapse(vm);
   const int first_run =
       static_cast<int>((ownership_.term - 1) * kRunsPerTerm + 1);
   scheduler_.FinishRestore(first_run, Now());
-  if (ownership_.handed_over) scheduler_.TrustRecords();
+  if (ownership_.records_whole) scheduler_.TrustRecords();
   if (ownership_.handed_over || predecessors_gone_) OnPredecessorsGone();
   ready_ = true;
   net::asio::co_spawn(context_, RunJournal(), net::asio::detached);
@@ -318,14 +319,17 @@
   co_return !stopped_;
 }
 
-net::asio::awaitable<void> CellOwner::Drain(Millis patience) {
+net::asio::awaitable<bool> CellOwner::Drain(Millis patience) {
   const auto self = shared_from_this();
   draining_ = true;
   const Millis until = Now() + patience;
   while (!stopped_ && Now() < until) {
-    if (!append_began_ && !scheduler_.HasBatch()) co_return;
+    if (!append_began_ && !scheduler_.HasBatch()) {
+      co_return ready_&& scheduler_.KnowsAllRuns();
+    }
     co_await net::Sleep(kDrainCheck);
   }
+  co_return false;
 }
 
 }  // namespace basilspur::cell
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -41,7 +41,9 @@
     int cell = 0;
     std::int64_t token = 0;
     std::int64_t term = 1;
-    bool handed_over = false;  ///< The owner before gave the cell up itself.
+    bool handed_over = false;    ///< The owner before gave the cell up itself.
+    bool records_whole = false;  ///< The journal names every run.
+    std::vector<jobs::SilentVm> silent;  ///< As the owner before has told.
   };
 
   /// What an owner asks of the entry that it is part of.
@@ -77,8 +79,8 @@
   net::asio::awaitable<JobReply> Handle(JobRequest request);
 
   /// Orders nothing more and waits until the journal holds all, at most
-  /// `patience`.
-  net::asio::awaitable<void> Drain(Millis patience);
+  /// `patience`. Returns whether the journal names every run.
+  net::asio::awaitable<bool> Drain(Millis patience);
   void Stop();
   bool IsReady() const { return ready_; }
   const jobs::Scheduler& State() const { return scheduler_; }
@@ -86,6 +88,14 @@
   void RestoreTails(const jobs::TailRecord& record);
   /// Takes in what the owner of another cell has learned of tails.
   void LearnTails(int cell, const jobs::TailRecord& record);
+  /// The silent VMs to name in a record that is about to be written.
+  std::vector<jobs::SilentVm> TellSilentVms() {
+    return scheduler_.TellSilentVms(Now());
+  }
+  /// The record that named `told`, and no others, is in force.
+  void OnSilentVmsTold(const std::vector<jobs::SilentVm>& told) {
+    scheduler_.OnSilentVmsTold(told);
+  }
   /// How full the cell is; its room is 0 until the owner is ready.
   CellLoad Load() const;
 
--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -105,7 +105,7 @@
       Wake();
       co_return false;
     case RenewalFailure::kNoAnswer:
-      scheduler_.OnSilent(vm.id);
+      scheduler_.OnSilent(vm.id, Now());
       kLog.Info("event=vm_silent vm=" + vm.id);
       co_await net::Sleep(settings_.silent_pause);
       co_return true;
--- a/src/libs/cell/election.cc
+++ b/src/libs/cell/election.cc
@@ -27,6 +27,7 @@
     owner_.reset();
     former_ = record.former;
     handed_over_ = true;
+    vacated_whole_ = record.whole;
     if (token == token_) token_ = -1;
     return;
   }
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -63,8 +63,10 @@
   const std::vector<FormerOwner>& Former() const { return former_; }
   /// The former owner acts no more.
   void OnFormerGone(const FormerOwner& gone);
-  /// True if the owner before handed the cell over with all its records.
+  /// True if the owner before gave the cell up itself, or there was none.
   bool WasHandedOver() const { return handed_over_; }
+  /// True if it said so with a journal that names every run.
+  bool HasWholeRecords() const { return handed_over_ && vacated_whole_; }
   OwnerRecord BeginRecord(const std::string& address) const;
   OwnerRecord RenewalRecord(const std::string& address) const;
 
@@ -79,7 +81,8 @@
   std::optional<OwnerRecord> owner_;
   std::vector<FormerOwner> former_;
   bool handed_over_ = false;
-  bool read_ = false;  ///< The partition has been read to its end.
+  bool vacated_whole_ = true;  ///< As the last vacant record says, if any.
+  bool read_ = false;          ///< The partition has been read to its end.
   std::int64_t end_ = 0;
   Millis seen_;  ///< When the owner last showed itself.
   std::optional<Millis> run_at_;
--- a/src/libs/cell/owner_record.h
+++ b/src/libs/cell/owner_record.h
@@ -23,6 +23,18 @@
   }
 };
 
+/// A VM that does not answer the owner. The owner extends its lease no more
+/// until a later record does not name it.
+struct SilentVmRecord {
+  std::string vm;
+  std::int64_t lease_left_ms = 0;  ///< At most, when the record was written.
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.vm, self.lease_left_ms);
+  }
+};
+
 /// Says who owns a cell. Written on a condition, so that records follow one
 /// another without gaps; the offset of the record that began an ownership is
 /// its fencing token.
@@ -37,11 +49,13 @@
   bool vacant = false;      ///< The owner has given the cell up.
   std::vector<FormerOwner> former;  ///< Not known to be gone.
   CellLoad load;                    ///< When the record was written.
+  std::vector<SilentVmRecord> silent;
+  bool whole = false;  ///< If vacant: the journal names every run.
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.node, self.incarnation, self.address, self.token, self.term,
-            self.vacant, self.former, self.load);
+            self.vacant, self.former, self.load, self.silent, self.whole);
   }
 };
 
--- a/src/libs/jobs/placer.cc
+++ b/src/libs/jobs/placer.cc
@@ -30,6 +30,7 @@
 bool Placer::IsEligible(const Vm& vm, const StepSpec& spec,
                         const std::string& service, Millis now) const {
   if (!vm.listed || !vm.reachable || vm.lapsed) return false;
+  if (vm.told_silent) return false;
   if (vm.listing.draining || vm.listing.service != service) return false;
   if (now < vm.quarantined_until) return false;
   if (!spec.required_label.empty() &&
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -44,6 +44,12 @@
     return;
   }
   auto vm = std::make_unique<Vm>(listing, now + settings_.inherited_lease);
+  vm->silent_since = now;
+  const auto told = told_lapses_.find(listing.id);
+  if (told != told_lapses_.end()) {
+    vm->BoundInheritedLease(told->second);
+    vm->told_silent = true;
+  }
   all_settled_ = false;
   vms_[listing.id] = std::move(vm);
 }
@@ -105,6 +111,32 @@
   for (auto& [id, vm] : vms_) vm->BoundInheritedLease(lapse);
 }
 
+void Scheduler::BoundLapse(const SilentVm& told) {
+  told_lapses_[told.vm] = told.lapse;
+  Vm* vm = FindVm(told.vm);
+  if (!vm) return;
+  vm->BoundInheritedLease(told.lapse);
+  vm->told_silent = true;
+}
+
+std::vector<SilentVm> Scheduler::TellSilentVms(Millis now) {
+  std::vector<SilentVm> silent;
+  for (auto& [id, vm] : vms_) {
+    if (vm->reachable) continue;
+    if (now - vm->silent_since < settings_.tell_silent) continue;
+    vm->told_silent = true;
+    silent.push_back({id, vm->LapseAt()});
+  }
+  return silent;
+}
+
+void Scheduler::OnSilentVmsTold(const std::vector<SilentVm>& told) {
+  told_lapses_.clear();
+  std::set<std::string> silent;
+  for (const SilentVm& vm : told) silent.insert(vm.vm);
+  for (auto& [id, vm] : vms_) vm->told_silent = silent.contains(id);
+}
+
 void Scheduler::Activate(Job& job) {
   active_[{job.record.priority, {job.record.accepted_wall_ms, job.id}}] = &job;
 }
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -19,6 +19,7 @@
 #include "jobs/placer.h"
 #include "jobs/scheduler_settings.h"
 #include "jobs/service_order.h"
+#include "jobs/silent_vm.h"
 #include "jobs/tail_watch.h"
 #include "jobs/vm.h"
 
@@ -78,8 +79,18 @@
   void FinishRestore(int first_run, Millis now);
   /// Earlier owners renew no leases any more, as of now.
   void EndInheritedLeases(Millis now);
+  /// The newest record says that the VM's lease holds no longer than this, and
+  /// that no owner extends it.
+  void BoundLapse(const SilentVm& told);
+  /// The silent VMs to tell in a record that is about to be written; their
+  /// leases are not extended until a record without them is in force.
+  std::vector<SilentVm> TellSilentVms(Millis now);
+  /// The record that told of `told`, and of no others, is the newest.
+  void OnSilentVmsTold(const std::vector<SilentVm>& told);
   /// All that earlier owners ordered is in the journal.
   void TrustRecords() { records_whole_ = true; }
+  /// No earlier owner's run can be unknown here.
+  bool KnowsAllRuns() const { return records_whole_ || all_settled_; }
 
   /// kNew and kKnown jobs are accepted once IsAccepted is true.
   SubmitVerdict Submit(const std::string& id, const QueueConfig& queue,
@@ -115,7 +126,7 @@
   void OnReport(const std::string& vm, const VmReport& report, Millis sent,
                 Millis now);
   /// A renewal was not answered.
-  void OnSilent(const std::string& vm);
+  void OnSilent(const std::string& vm, Millis now);
   /// The VM has restarted: nothing of this lifetime runs.
   void OnOtherLife(const std::string& vm);
   void OnOrderOutcome(const Order& order, OrderOutcome outcome,
@@ -198,6 +209,7 @@
   std::set<std::string> ending_;  ///< Ended jobs with runs to stop.
   std::map<std::string, std::unique_ptr<Vm>> vms_;
   std::set<std::string> dirty_;
+  std::map<std::string, Millis> told_lapses_;  ///< By the last owner.
   std::vector<JournalEntry> dropped_;
   std::map<std::string, std::int64_t> new_ends_;
   /// Runs on VMs that no job wants, to be stopped: when last ordered.
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -49,7 +49,7 @@
 bool Scheduler::MayStart(const Job& job) const {
   // Runs of earlier terms that no record names are found at the VMs, so a job
   // of that time starts nothing until each VM has answered or lapsed.
-  return job.accepted && (!job.old || records_whole_ || all_settled_);
+  return job.accepted && (!job.old || KnowsAllRuns());
 }
 
 std::vector<Vm*> Scheduler::AllVms() {
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -9,7 +9,7 @@
   if (!known) return 0;
   const auto deadline = known->DeadlineFor(settings_.lease, now);
   // The lease of a silent VM has to run out some day.
-  if (!deadline || !known->reachable) return 0;
+  if (!deadline || !known->reachable || known->told_silent) return 0;
   known->NoteDeadline(*deadline);
   return *deadline;
 }
@@ -234,9 +234,11 @@
   vm.quarantined_until = now + settings_.quarantine;
 }
 
-void Scheduler::OnSilent(const std::string& id) {
+void Scheduler::OnSilent(const std::string& id, Millis now) {
   Vm* vm = FindVm(id);
-  if (vm) vm->reachable = false;
+  if (!vm) return;
+  if (vm->reachable) vm->silent_since = now;
+  vm->reachable = false;
 }
 
 void Scheduler::GiveUpRuns(Vm& vm) {
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -17,6 +17,7 @@
   Millis stop_time{900};       ///< A VM takes at most this long to stop a run.
   Millis stop_margin{200};     ///< And the owner waits this much longer.
   Millis stop_retry{500};      ///< Between sendings of one stop.
+  Millis tell_silent{1'000};   ///< Of silence, until successors are told.
   Millis check_interval{100};  ///< Of retries, stalls and paces.
   Millis stall{3'000};         ///< Without progress, until a run is moved.
   Millis quarantine{4'000};    ///< Without new runs, for a VM that fails all.
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -45,13 +45,11 @@
   return lapsed;
 }
 
-bool Vm::HasLapsed(Millis now) const {
+Millis Vm::LapseAt() const {
   // As long as this owner has set no deadline, an earlier one's holds.
-  if (!clock_known_ || max_deadline_ms_ == 0) return now > inherited_lapse_;
+  if (!clock_known_ || max_deadline_ms_ == 0) return inherited_lapse_;
   const std::int64_t left = max_deadline_ms_ - clock_ms_;
-  const Millis lapse =
-      clock_at_ + Millis(left * 100 / (100 - kDriftPercent)) + kLapseMargin;
-  return now > lapse;
+  return clock_at_ + Millis(left * 100 / (100 - kDriftPercent)) + kLapseMargin;
 }
 
 void Vm::Add(const RunKey& key, const RunOnVm& run) {
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -60,8 +60,9 @@
   /// Notes the VM's clock in an answer to a call of `sent`, which came at
   /// `now`. Returns true if a lease ran out before that call arrived.
   bool NoteClock(std::int64_t clock_ms, Millis sent, Millis now);
-  /// True once no run of an earlier lease can be at work.
-  bool HasLapsed(Millis now) const;
+  /// From then on no run of an earlier lease can be at work.
+  Millis LapseAt() const;
+  bool HasLapsed(Millis now) const { return now > LapseAt(); }
 
   void Add(const RunKey& key, const RunOnVm& run);
   void Remove(const RunKey& key);
@@ -78,6 +79,10 @@
   VmListing listing;
   bool listed = true;
   bool reachable = false;
+  Millis silent_since;  ///< While it is not reachable.
+  /// A record that may be the newest says how long its lease holds at most, so
+  /// the lease must not be extended.
+  bool told_silent = false;
   bool recorded = false;         ///< The journal names it, or is about to.
   bool settled = false;          ///< Has answered this owner, or has lapsed.
   bool lapsed = false;           ///< Its runs were given up.
--- a/tests/auto/cell/election_test.cc
+++ b/tests/auto/cell/election_test.cc
@@ -142,3 +142,34 @@
   b.OnOwnerDead("a-1", kNow);
   CHECK(Runs(b, kNow));
 }
+
+TEST_CASE("a cell given up before all was journaled is not taken for whole") {
+  const bool whole = GENERATE(false, true);
+  Election a = MakeElection("a");
+  a.OnEnd(0, kNow);
+  const OwnerRecord begin = a.BeginRecord("a:1");
+  a.OnRecord(begin, 0, kNow);
+  OwnerRecord vacant = a.RenewalRecord("a:1");
+  vacant.vacant = true;
+  vacant.whole = whole;
+  Election b = MakeElection("b");
+  b.OnRecord(begin, 0, kNow);
+  b.OnRecord(vacant, 1, kNow);
+  b.OnEnd(2, kNow);
+  b.OnRecord(b.BeginRecord("b:1"), 2, kNow);
+  REQUIRE(b.Owns());
+  CHECK(b.WasHandedOver());
+  CHECK(b.HasWholeRecords() == whole);
+}
+
+TEST_CASE("a cell whose owner fell silent has no whole records") {
+  Election a = MakeElection("a");
+  a.OnEnd(0, kNow);
+  const OwnerRecord begin = a.BeginRecord("a:1");
+  Election b = MakeElection("b");
+  b.OnRecord(begin, 0, kNow);
+  b.OnEnd(1, kNow);
+  b.OnRecord(b.BeginRecord("b:1"), 1, kNow + Millis(5'000));
+  REQUIRE(b.Owns());
+  CHECK(!b.HasWholeRecords());
+}
--- a/tests/auto/jobs/scheduler_test.cc
+++ b/tests/auto/jobs/scheduler_test.cc
@@ -111,7 +111,7 @@
   REQUIRE(fixture.PlanAndConfirm().size() == 1);
   fixture.AddVm("other");
   const Millis silent = fixture.now;
-  fixture.scheduler.OnSilent("vm");
+  fixture.scheduler.OnSilent("vm", fixture.now);
   while (fixture.now - silent < fixture.settings.lease) {
     // Trying on must not put the lease's end off.
     CHECK(fixture.scheduler.NextDeadline("vm", fixture.now) == 0);
