--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -1,5 +1,7 @@
 #include "cell/cell_owner.h"
 
+#include <algorithm>
+#include <chrono>
 #include <map>
 #include <utility>
 
@@ -36,7 +38,8 @@
       scheduler_(settings.scheduler),
       journal_{"keyed.jobs", ownership.cell},
       dirty_(context),
-      flushed_(context) {}
+      flushed_(context),
+      plan_timer_(context) {}
 
 void CellOwner::Stop() {
   stopped_ = true;
@@ -155,6 +158,10 @@
 }
 
 void CellOwner::OnVmListed(const jobs::VmListing& listing) {
+  const auto known = scheduler_.Listing(listing.id);
+  if (listing.draining && !(known && known->draining)) {
+    kLog.Info("event=vm_draining vm=" + listing.id + CellField(ownership_));
+  }
   scheduler_.ListVm(listing, Now());
   if (!ready_ || !driven_.insert(listing.id).second) return;
   net::asio::co_spawn(context_, DriveVm(listing.id), net::asio::detached);
@@ -215,8 +222,13 @@
 void CellOwner::Wake() {
   if (!ready_ || plan_posted_) return;
   plan_posted_ = true;
-  net::asio::post(context_, [self = shared_from_this()] {
+  // A plan looks at all that waits, so it takes in what came meanwhile.
+  const Millis due = planned_ + settings_.plan_interval - Now();
+  plan_timer_.expires_after(
+      std::chrono::milliseconds(std::max(due.count, std::int64_t{0})));
+  plan_timer_.async_wait([self = shared_from_this()](const net::error_code&) {
     self->plan_posted_ = false;
+    self->planned_ = self->Now();
     self->RunPlan();
   });
 }
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -21,6 +21,7 @@
 struct CellOwnerSettings {
   jobs::SchedulerSettings scheduler;
   Millis flush_interval{15};         ///< Between appends to the journal.
+  Millis plan_interval{8};           ///< Between plans at least.
   Millis store_stalled{400};         ///< An append without an answer this long.
   Millis idle_wait{2'000};           ///< Of a renewal at a VM without runs.
   Millis busy_wait{1'000};           ///< Of a renewal at a VM with runs.
@@ -145,6 +146,8 @@
   std::optional<Millis> append_began_;
   std::set<std::string> driven_;
   Millis summarized_;
+  Millis planned_;
+  net::asio::steady_timer plan_timer_;
   Millis moved_checked_;
   bool predecessors_gone_ = false;
   bool plan_posted_ = false;
--- a/src/libs/cell/store.h
+++ b/src/libs/cell/store.h
@@ -30,6 +30,7 @@
 struct RecordSlice {
   std::vector<KeyedRecord> records;
   std::int64_t next = 0;  ///< Where to read on.
+  std::int64_t end = 0;   ///< Of the partition; `next` may be before it.
   bool expired = false;
 };
 
--- a/src/libs/cell/topic_watcher.cc
+++ b/src/libs/cell/topic_watcher.cc
@@ -67,7 +67,9 @@
     for (const KeyedRecord& record : ValueOf(read).records) Take(record);
     next_ = ValueOf(read).next;
     on_read_(next_);
-    if (settings_.pause > Millis(0)) co_await net::Sleep(settings_.pause);
+    const bool behind = next_ < ValueOf(read).end;
+    if (!behind && settings_.pause > Millis(0))
+      co_await net::Sleep(settings_.pause);
   }
 }
 
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -21,6 +21,7 @@
 #include "jobs/service_order.h"
 #include "jobs/silent_vm.h"
 #include "jobs/tail_watch.h"
+#include "jobs/unplaceable.h"
 #include "jobs/vm.h"
 
 namespace basilspur::jobs {
@@ -202,6 +203,7 @@
   Catalog catalog_;
   ServiceOrder order_;
   MovedJobs moved_;
+  Unplaceable unplaceable_;  ///< In the present plan.
   TailWatch tails_;
   Placer placer_;
   std::map<std::string, std::unique_ptr<Job>> jobs_;
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -17,6 +17,7 @@
   PlanPaces(orders);
   PlanEndings(now, orders);
   const std::vector<Vm*> vms = AllVms();
+  unplaceable_ = {};
   if (check) {
     for (auto& [key, job] : active_) {
       PlanStalls(*job, now);
@@ -102,9 +103,13 @@
   const StepSpec& spec = job.record.spec.steps[step];
   for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
     if (!NeedsRun(tasks[index], now)) continue;
+    if (unplaceable_.Covers(spec, job.record.service)) return;
     const Place place =
         placer_.Pick(vms, spec, job.record.service, tasks[index], tasks, now);
-    if (!place.vm) return;
+    if (!place.vm) {
+      unplaceable_.Add(spec, job.record.service);
+      return;
+    }
     StartTask(job, {job.id, occurrence.number, step, index}, place,
               NextRunNumber(job, tasks[index]), now, orders);
   }
--- /dev/null
+++ b/src/libs/jobs/unplaceable.cc
@@ -0,0 +1,27 @@
+#include "jobs/unplaceable.h"
+
+#include <algorithm>
+
+namespace basilspur::jobs {
+
+Unplaceable::Kind Unplaceable::KindOf(const StepSpec& spec,
+                                      const std::string& service) {
+  return {service, spec.image, spec.required_label, spec.best_effort};
+}
+
+void Unplaceable::Add(const StepSpec& spec, const std::string& service) {
+  // Its siblings, not its need, may be why it found none.
+  if (spec.max_per_vm > 0) return;
+  needs_[KindOf(spec, service)].push_back(spec.need);
+}
+
+bool Unplaceable::Covers(const StepSpec& spec,
+                         const std::string& service) const {
+  const auto found = needs_.find(KindOf(spec, service));
+  if (found == needs_.end()) return false;
+  return std::any_of(
+      found->second.begin(), found->second.end(),
+      [&](const records::Resources& need) { return need.FitsIn(spec.need); });
+}
+
+}  // namespace basilspur::jobs
