Reserve room for long-running tasks, move them off leaving VMs, tell loads at once

Three reasons, from the logs: the first jobs come by the hundred before an owner's first renewal, so that all went by the hash (one cell had 1,700 cores free and another 145 such tasks waiting); short tasks take each small room that gets free on a full VM; and VMs that leave took their tasks with them, whose leases had to lapse then. Ruled out: too little room in all. Change: an owner tells its load as soon as it is ready; a long-running task that finds no VM reserves one; tasks are moved off a VM that drains once there is a place.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -92,6 +92,7 @@
   if (owner_ && election_.Token() != owner_token_) DropOwner();
   if (owner_ || !election_.Owns() || leaving_) return;
   owner_token_ = election_.Token();
+  load_told_ = false;
   const auto self = shared_from_this();
   CellOwner::Ownership ownership;
   ownership.cell = cell_;
@@ -163,7 +164,9 @@
   }
   if (owner_) owner_->Tick();
   if (appending_ || leaving_) return;
-  if (election_.ShouldRenew(now)) {
+  // Jobs may come by the hundred at once, and go by what cells have told.
+  const bool untold = owner_ && owner_->IsReady() && !load_told_;
+  if (election_.ShouldRenew(now) || untold) {
     net::asio::co_spawn(
         context_, AppendRecord(election_.RenewalRecord(identity_.peer_address)),
         net::asio::detached);
@@ -206,6 +209,7 @@
           election_.OnRenewed(answer.offset + count - 1, sent, now);
           surroundings_.on_load(record.load);
           NoteSilentVms(record);
+          load_told_ = load_told_ || record.load.room > 0;
           if (owner) owner->OnSilentVmsTold(silent);
         }
       } else {
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -81,6 +81,7 @@
   Election election_;
   Surroundings surroundings_;
   Millis tails_told_;
+  bool load_told_ = false;  ///< By this ownership.
   std::shared_ptr<TopicWatcher> watcher_;
   std::shared_ptr<CellOwner> owner_;
   std::int64_t owner_token_ = -1;
--- a/src/libs/jobs/placer.cc
+++ b/src/libs/jobs/placer.cc
@@ -27,21 +27,39 @@
   return vm.Free().cpu_millis + idle - vm.BestEffortCpu();
 }
 
-bool Placer::IsEligible(const Vm& vm, const StepSpec& spec,
-                        const std::string& service, Millis now) const {
+bool Placer::TakesRuns(const Vm& vm, const StepSpec& spec,
+                       const std::string& service, Millis now) {
   if (!vm.listed || !vm.reachable || vm.lapsed) return false;
   if (vm.told_silent) return false;
   if (vm.listing.draining || vm.listing.service != service) return false;
   if (now < vm.quarantined_until) return false;
-  if (!spec.required_label.empty() &&
-      !vm.listing.HasLabel(spec.required_label)) {
-    return false;
-  }
+  return spec.required_label.empty() ||
+         vm.listing.HasLabel(spec.required_label);
+}
+
+bool Placer::IsEligible(const Vm& vm, const StepSpec& spec,
+                        const std::string& service, Millis now) const {
+  if (!TakesRuns(vm, spec, service, now)) return false;
+  const bool yields = !spec.best_effort && !spec.long_running;
+  if (yields && vm.reserved_for && now < vm.reserved_until) return false;
   if (!spec.Charge().FitsIn(vm.Free())) return false;
   if (!spec.best_effort) return true;
   return Unused(vm) >= spec.need.cpu_millis;
 }
 
+Vm* Placer::PickToReserve(const std::vector<Vm*>& vms, const StepSpec& spec,
+                          const std::string& service, Millis now) {
+  Vm* best = nullptr;
+  for (Vm* vm : vms) {
+    if (!TakesRuns(*vm, spec, service, now)) continue;
+    if (vm->reserved_for && now < vm->reserved_until) continue;
+    if (!spec.Charge().FitsIn(vm->RoomBesideLongRunning())) continue;
+    if (best && vm->Free().cpu_millis <= best->Free().cpu_millis) continue;
+    best = vm;
+  }
+  return best;
+}
+
 /// Each best-effort image disturbs only some images. VMs whose tasks with
 /// targets are of one image are open to most of them, and VMs without such
 /// tasks to all.
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -31,7 +31,14 @@
              const std::string& service, const Task& task,
              const std::vector<Task>& siblings, Millis now) const;
 
+  /// The VM that will soonest have room for a long-running task, once shorter
+  /// tasks have ended there. Null: none, or none that is not reserved.
+  static Vm* PickToReserve(const std::vector<Vm*>& vms, const StepSpec& spec,
+                           const std::string& service, Millis now);
+
  private:
+  static bool TakesRuns(const Vm& vm, const StepSpec& spec,
+                        const std::string& service, Millis now);
   bool IsEligible(const Vm& vm, const StepSpec& spec,
                   const std::string& service, Millis now) const;
   double Cost(const Vm& vm, const StepSpec& spec, const Task& task) const;
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -183,6 +183,16 @@
   void PlanGang(Job& job, Occurrence& occurrence, int step, Millis now,
                 std::vector<Order>& orders);
   bool NeedsRun(const Task& task, Millis now) const;
+  /// Keeps a VM's room for a long-running task that found none.
+  void ReserveFor(const TaskRef& ref, const StepSpec& spec,
+                  const std::string& service, const std::vector<Vm*>& vms,
+                  Millis now);
+  /// Moves long-running tasks off VMs that leave, where there is room.
+  void PlanEvacuations(const std::vector<Vm*>& vms, Millis now,
+                       std::vector<Order>& orders);
+  /// False if the run was not stopped.
+  bool Evacuate(const RunKey& key, const std::vector<Vm*>& vms, Millis now,
+                std::vector<Order>& orders);
   void StartTask(Job& job, const TaskRef& ref, const Place& place, int number,
                  Millis now, std::vector<Order>& orders);
   void PlanRetries(Job& job, Millis now, std::vector<Order>& orders);
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -28,6 +28,7 @@
   for (Job* job : InOrderOfService()) {
     if (MayStart(*job)) PlanJob(*job, vms, now, orders);
   }
+  if (check) PlanEvacuations(vms, now, orders);
   return orders;
 }
 
@@ -106,12 +107,15 @@
     if (unplaceable_.Covers(spec, job.record.service)) return;
     const Place place =
         placer_.Pick(vms, spec, job.record.service, tasks[index], tasks, now);
+    const TaskRef ref{job.id, occurrence.number, step, index};
     if (!place.vm) {
+      if (spec.long_running) {
+        ReserveFor(ref, spec, job.record.service, vms, now);
+      }
       unplaceable_.Add(spec, job.record.service);
       return;
     }
-    StartTask(job, {job.id, occurrence.number, step, index}, place,
-              NextRunNumber(job, tasks[index]), now, orders);
+    StartTask(job, ref, place, NextRunNumber(job, tasks[index]), now, orders);
   }
 }
 
@@ -165,6 +169,7 @@
 void Scheduler::StartTask(Job& job, const TaskRef& ref, const Place& place,
                           int number, Millis now, std::vector<Order>& orders) {
   Vm& vm = *place.vm;
+  if (vm.reserved_for == ref) vm.reserved_for.reset();
   Task& task = job.At(ref);
   const StepSpec& spec = job.record.spec.steps[ref.step];
   Run& run = task.runs.emplace_back();
--- /dev/null
+++ b/src/libs/jobs/scheduler_room.cc
@@ -0,0 +1,70 @@
+#include <algorithm>
+
+#include "jobs/scheduler.h"
+
+namespace basilspur::jobs {
+
+void Scheduler::ReserveFor(const TaskRef& ref, const StepSpec& spec,
+                           const std::string& service,
+                           const std::vector<Vm*>& vms, Millis now) {
+  int reserved = 0;
+  for (Vm* vm : vms) {
+    if (!vm->reserved_for || now >= vm->reserved_until) continue;
+    if (vm->reserved_for == ref) {
+      vm->reserved_until = now + settings_.reservation;
+      return;
+    }
+    ++reserved;
+  }
+  if (reserved >= settings_.most_reservations) return;
+  Vm* vm = Placer::PickToReserve(vms, spec, service, now);
+  if (!vm) return;
+  vm->reserved_for = ref;
+  vm->reserved_until = now + settings_.reservation;
+}
+
+void Scheduler::PlanEvacuations(const std::vector<Vm*>& vms, Millis now,
+                                std::vector<Order>& orders) {
+  int moving = 0;
+  std::vector<RunKey> leaving;
+  for (const Vm* vm : vms) {
+    if (!vm->listing.draining || !vm->reachable) continue;
+    for (const auto& [key, run] : vm->Runs()) {
+      if (!run.long_running) continue;
+      Job* job = FindJob(key.first.job);
+      Task* task = job ? job->Find(key.first) : nullptr;
+      const Run* known = task ? task->FindRun(key.second) : nullptr;
+      if (!known) continue;
+      if (known->phase == RunPhase::kStopping) ++moving;
+      if (known->phase == RunPhase::kRunning) leaving.push_back(key);
+    }
+  }
+  for (const RunKey& key : leaving) {
+    if (moving >= settings_.most_evacuations) return;
+    if (Evacuate(key, vms, now, orders)) ++moving;
+  }
+}
+
+bool Scheduler::Evacuate(const RunKey& key, const std::vector<Vm*>& vms,
+                         Millis now, std::vector<Order>& orders) {
+  Job& job = *FindJob(key.first.job);
+  if (IsFinal(job.record.status) || !MayStart(job)) return false;
+  Occurrence& occurrence = *job.FindOccurrence(key.first.occurrence);
+  std::vector<Task>& tasks = occurrence.steps[key.first.step].tasks;
+  const StepSpec& spec = job.record.spec.steps[key.first.step];
+  if (spec.gang) return false;
+  Task& task = tasks[key.first.index];
+  const Place place =
+      placer_.Pick(vms, spec, job.record.service, task, tasks, now);
+  if (!place.vm) {
+    ReserveFor(key.first, spec, job.record.service, vms, now);
+    return false;
+  }
+  OrderStop(key.first, *task.FindRun(key.second), now, orders);
+  // Keeps the place until the stopped run has ended.
+  place.vm->reserved_for = key.first;
+  place.vm->reserved_until = now + settings_.stop_time + settings_.stop_margin;
+  return true;
+}
+
+}  // namespace basilspur::jobs
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -22,6 +22,9 @@
   Millis stall{3'000};         ///< Without progress, until a run is moved.
   Millis quarantine{4'000};    ///< Without new runs, for a VM that fails all.
   int failures_to_quarantine = 3;
+  int most_reservations = 4;    ///< VMs kept free for long-running tasks.
+  Millis reservation{500};      ///< Until it has to be renewed.
+  int most_evacuations = 8;     ///< Tasks of leaving VMs that move at a time.
   Millis status_time{120'000};  ///< How long an ended job is remembered.
   std::size_t max_active_jobs = 4'000;
   Millis yield{700};  ///< At pace 0, until a run is moved.
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -14,6 +14,7 @@
   run.best_effort_cpu = spec.best_effort ? spec.need.cpu_millis : 0;
   run.tail_target_ms = spec.tail_target_ms;
   run.image = spec.image;
+  run.long_running = spec.long_running;
   return run;
 }
 
@@ -84,6 +85,14 @@
   serving_cpu_ = 0;
 }
 
+records::Resources Vm::RoomBesideLongRunning() const {
+  records::Resources room = listing.room;
+  for (const auto& [key, run] : runs_) {
+    if (run.long_running) room = room - run.charge;
+  }
+  return room;
+}
+
 RunOnVm* Vm::FindRun(const RunKey& key) {
   const auto found = runs_.find(key);
   return found == runs_.end() ? nullptr : &found->second;
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -22,6 +22,7 @@
   std::int64_t best_effort_cpu = 0;
   std::int64_t tail_target_ms = 0;
   std::string image = {};
+  bool long_running = false;
   std::int64_t figure = 0;  ///< As in RunningRow.
   bool confirmed = false;   ///< The VM has said that it is there.
   int pace = 100;           ///< Decided for a best-effort run, percent.
@@ -73,6 +74,8 @@
   int Serving() const { return serving_; }
   std::int64_t ServingCpu() const { return serving_cpu_; }
   const std::map<RunKey, RunOnVm>& Runs() const { return runs_; }
+  /// The room that is left once all but long-running tasks have ended.
+  records::Resources RoomBesideLongRunning() const;
   /// Null if the run is not there.
   RunOnVm* FindRun(const RunKey& key);
 
@@ -90,6 +93,10 @@
   std::int64_t durable_end = 0;  ///< The newest that the journal covers.
   int failures_in_row = 0;
   Millis quarantined_until;
+  /// A long-running task that waits for room here; until then no other charged
+  /// task comes in.
+  std::optional<TaskRef> reserved_for;
+  Millis reserved_until;
   Millis paced_at;     ///< When a pace was last ordered.
   Millis observed_at;  ///< When its tails were last learned from.
   /// By best-effort image; emptied whenever what runs changes.
--- /dev/null
+++ b/tests/auto/jobs/room_test.cc
@@ -0,0 +1,107 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "auto/jobs/scheduler_fixture.h"
+
+using namespace basilspur;        // NOLINT(google-build-using-namespace)
+using namespace basilspur::jobs;  // NOLINT(google-build-using-namespace)
+
+static const std::string kLasting(16, 'a');
+static const TaskRef kTask{kLasting, 0, 0, 0};
+
+static std::string ShortId(int number) {
+  return "b" + std::string(13, '0') + std::to_string(10 + number);
+}
+
+static JobSpec MakeLasting(std::int64_t cpu_millis) {
+  StepSpec step = SchedulerFixture::MakeStep(1, cpu_millis);
+  step.long_running = true;
+  return SchedulerFixture::MakeJob({step});
+}
+
+static std::vector<Order> OfKind(const std::vector<Order>& orders,
+                                 OrderKind kind) {
+  std::vector<Order> found;
+  std::copy_if(orders.begin(), orders.end(), std::back_inserter(found),
+               [&](const Order& order) { return order.kind == kind; });
+  return found;
+}
+
+/// Short tasks of a quarter of a VM take each quarter as soon as it is free;
+/// a long-running task needs half a VM.
+TEST_CASE("short tasks do not keep a long-running one waiting for ever") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  std::vector<Order> running;
+  int jobs = 0;
+  const auto submit = [&] {
+    fixture.Accept(ShortId(jobs++),
+                   fixture.MakeJob({fixture.MakeStep(1, 4'000)}));
+  };
+  for (int i = 0; i < 6; ++i) submit();
+  running = fixture.PlanAndConfirm();
+  REQUIRE(running.size() == 4);
+  fixture.Accept(kLasting, MakeLasting(8'000));
+  int turns = 0;
+  for (bool started = false; !started; ++turns) {
+    REQUIRE(turns < 12);
+    submit();
+    fixture.now = fixture.now + Millis(200);
+    std::vector<RunningRow> rows;
+    for (std::size_t i = 1; i < running.size(); ++i) {
+      rows.push_back({running[i].task, running[i].run, "", 50, 0});
+    }
+    const TaskRef ended = running.front().task;
+    running.erase(running.begin());
+    fixture.Report("vm", rows,
+                   {fixture.MakeEnd(turns + 1, ended, 1, RunEnd::kDone)});
+    for (const Order& order : fixture.PlanAndConfirm()) {
+      running.push_back(order);
+      started = started || order.task.job == kLasting;
+    }
+  }
+}
+
+TEST_CASE(
+    "a long-running task leaves a VM that drains, once there is a place") {
+  SchedulerFixture fixture;
+  fixture.AddVm("leaving");
+  fixture.Accept(kLasting, MakeLasting(6'000));
+  REQUIRE(fixture.PlanAndConfirm().size() == 1);
+  const RunningRow row{kTask, 1, "", 100, 0};
+  fixture.Report("leaving", {row});
+  VmListing leaving = fixture.listings[0];
+  leaving.draining = true;
+  fixture.scheduler.ListVm(leaving, fixture.now);
+  fixture.now = fixture.now + Millis(200);
+  CHECK(fixture.Plan().empty());
+  fixture.AddVm("other");
+  fixture.now = fixture.now + Millis(200);
+  const std::vector<Order> stops =
+      OfKind(fixture.PlanAndConfirm(), OrderKind::kStop);
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].vm == "leaving");
+  // It starts elsewhere only once its end is known.
+  fixture.now = fixture.now + Millis(200);
+  CHECK(OfKind(fixture.Plan(), OrderKind::kStart).empty());
+  fixture.Report("leaving", {},
+                 {fixture.MakeEnd(1, kTask, 1, RunEnd::kStopped)});
+  const std::vector<Order> starts = OfKind(fixture.Plan(), OrderKind::kStart);
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].vm == "other");
+  CHECK(starts[0].run == 2);
+}
+
+TEST_CASE("short tasks stay on a VM that drains") {
+  SchedulerFixture fixture;
+  fixture.AddVm("leaving");
+  fixture.Accept(kLasting, fixture.MakeJob({fixture.MakeStep(1, 6'000)}));
+  REQUIRE(fixture.PlanAndConfirm().size() == 1);
+  fixture.Report("leaving", {{kTask, 1, "", 50, 0}});
+  VmListing leaving = fixture.listings[0];
+  leaving.draining = true;
+  fixture.scheduler.ListVm(leaving, fixture.now);
+  fixture.AddVm("other");
+  fixture.now = fixture.now + Millis(200);
+  CHECK(fixture.Plan().empty());
+}
