Tell truly what was sent, let slow owners yield, bound the log

Change: reads of 16 kB; a node whose ticks keep coming late hands a cell over and does not run for it for 15 s. A reserved VM takes only the task that it is reserved for.

--- a/src/libs/base/logging.cc
+++ b/src/libs/base/logging.cc
@@ -5,9 +5,13 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <map>
 #include <memory>
+#include <mutex>
+#include <optional>
 
 namespace basilspur {
 
@@ -25,11 +29,54 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
+/// A pipe that is writable takes this much at once, with room for the prefix.
+static constexpr std::size_t kLongestLine = 3'800;
+
+namespace {
+
+struct BoundedLog {
+  std::mutex mutex;
+  std::optional<LogBudget> budget;
+  SystemClock clock;
+};
+
+}  // namespace
+
+static BoundedLog& Bounded() {
+  static BoundedLog log;
+  return log;
+}
+
+static bool WritesWithoutWaiting() {
+  pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  return poll(&output, 1, /*timeout=*/0) == 1 &&
+         (output.revents & POLLOUT) != 0;
+}
+
+/// The line to write; empty if it is left out.
+static std::string Admit(std::string_view sentence) {
+  BoundedLog& log = Bounded();
+  const std::lock_guard lock(log.mutex);
+  std::string line(sentence);
+  if (!log.budget) return line;
+  const std::int64_t left_out =
+      log.budget->Take(sentence, log.clock.Monotonic());
+  if (left_out < 0) return {};
+  if (!WritesWithoutWaiting()) {
+    log.budget->OnDropped(sentence, left_out + 1);
+    return {};
+  }
+  if (line.size() > kLongestLine) line.resize(kLongestLine);
+  if (left_out > 0) line += " left_out=" + std::to_string(left_out);
+  return line;
+}
+
 static void Write(const char* prefix, log4cplus::LogLevel level,
                   std::string_view sentence) {
   const log4cplus::Logger logger = log4cplus::Logger::getInstance(prefix);
   if (!logger.isEnabledFor(level)) return;
-  logger.forcedLog(level, std::string(sentence));
+  const std::string line = Admit(sentence);
+  if (!line.empty()) logger.forcedLog(level, line);
 }
 
 void LogCategory::Debug(std::string_view sentence) const {
@@ -59,6 +106,10 @@
   SetLogLevel(level);
 }
 
+void BoundLogging(LogBudget::Limits limits) {
+  Bounded().budget.emplace(limits);
+}
+
 void SetLogLevel(LogLevel level) {
   log4cplus::Logger::getRoot().setLogLevel(ToLibraryLevel(level));
 }
--- a/src/libs/base/logging.h
+++ b/src/libs/base/logging.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <string_view>
 
+#include "base/log_budget.h"
+
 namespace basilspur {
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
@@ -28,6 +30,11 @@
 /// Opens the console log. Call once, before the first thread starts.
 void InitLogging(LogLevel level);
 
+/// Bounds the lines of each kind of event from now on, and drops lines that
+/// standard output would make the process wait for. The next line of that kind
+/// says how many were left out. Call before the first thread starts.
+void BoundLogging(LogBudget::Limits limits);
+
 /// Changes the level of all categories; safe while the process runs.
 void SetLogLevel(LogLevel level);
 
--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -90,7 +90,7 @@
 
 void CellMember::Follow() {
   if (owner_ && election_.Token() != owner_token_) DropOwner();
-  if (owner_ || !election_.Owns() || leaving_) return;
+  if (owner_ || !election_.Owns() || leaving_ || yielding_) return;
   owner_token_ = election_.Token();
   load_told_ = false;
   const auto self = shared_from_this();
@@ -163,14 +163,14 @@
     DropOwner();
   }
   if (owner_) owner_->Tick();
-  if (appending_ || leaving_) return;
+  if (appending_ || leaving_ || yielding_) return;
   // Jobs may come by the hundred at once, and go by what cells have told.
   const bool untold = owner_ && owner_->IsReady() && !load_told_;
   if (election_.ShouldRenew(now) || untold) {
     net::asio::co_spawn(
         context_, AppendRecord(election_.RenewalRecord(identity_.peer_address)),
         net::asio::detached);
-  } else if (election_.ShouldRun(owned, now)) {
+  } else if (now >= runs_from_ && election_.ShouldRun(owned, now)) {
     net::asio::co_spawn(
         context_, AppendRecord(election_.BeginRecord(identity_.peer_address)),
         net::asio::detached);
@@ -245,8 +245,23 @@
 }
 
 net::asio::awaitable<void> CellMember::Leave() {
-  const auto self = shared_from_this();
   leaving_ = true;
+  co_await HandOver();
+}
+
+net::asio::awaitable<void> CellMember::Yield(Millis pause) {
+  const auto self = shared_from_this();
+  if (yielding_ || leaving_) co_return;
+  yielding_ = true;
+  kLog.Warning("event=cell_yielded cell=" + std::to_string(cell_) +
+               " reason=\"this machine is too slow for it\"");
+  co_await HandOver();
+  runs_from_ = clock_.Monotonic() + pause;
+  yielding_ = false;
+}
+
+net::asio::awaitable<void> CellMember::HandOver() {
+  const auto self = shared_from_this();
   if (!owner_ || !election_.Owns()) co_return;
   const bool whole = co_await owner_->Drain(kDrainPatience);
   if (!owner_) co_return;
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -61,12 +61,15 @@
   void OnOwnerDead(const std::string& incarnation);
   /// Hands the cell over, if this node owns it. It does not run again.
   net::asio::awaitable<void> Leave();
+  /// Hands the cell over to another node, and does not run for a while.
+  net::asio::awaitable<void> Yield(Millis pause);
 
  private:
   void OnRecord(const KeyedRecord& record);
   void OnOwnerRecord(const KeyedRecord& record);
   void NoteSilentVms(const OwnerRecord& record);
   void Follow();
+  net::asio::awaitable<void> HandOver();
   net::asio::awaitable<void> AppendRecord(OwnerRecord record);
   net::asio::awaitable<void> LookAgain(Millis sent);
   void DropOwner();
@@ -89,6 +92,8 @@
   std::vector<jobs::SilentVm> silent_;
   bool appending_ = false;
   bool leaving_ = false;
+  bool yielding_ = false;
+  Millis runs_from_;  ///< After a yield.
 };
 
 }  // namespace basilspur::cell
--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -23,7 +23,8 @@
       directory_(directory),
       clock_(clock),
       settings_(std::move(settings)),
-      peers_(context) {}
+      peers_(context),
+      lag_(settings_.lag) {}
 
 Node::~Node() = default;
 
@@ -183,9 +184,21 @@
   return summaries;
 }
 
+void Node::CheckLag(Millis took) {
+  if (!lag_.OnTick(settings_.tick, took, clock_.Monotonic())) return;
+  for (const auto& member : members_) {
+    if (!member->Owns()) continue;
+    net::asio::co_spawn(context_, member->Yield(settings_.yield_pause),
+                        net::asio::detached);
+    return;
+  }
+}
+
 net::asio::awaitable<void> Node::Run() {
   for (;;) {
+    const Millis slept = clock_.Monotonic();
     co_await net::Sleep(settings_.tick);
+    CheckLag(clock_.Monotonic() - slept);
     // An owner needs the configuration to judge what it finds.
     if (catalog_.version >= 0) {
       for (const auto& member : members_) member->Tick(OwnedCells());
--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -11,6 +11,7 @@
 #include "cell/cell_balancer.h"
 #include "cell/cell_member.h"
 #include "cell/directory.h"
+#include "cell/lag_watch.h"
 #include "cell/layout.h"
 #include "cell/peer_messages.h"
 #include "net/http_client.h"
@@ -25,6 +26,8 @@
   int most_cells = 24;
   Millis layout_wait{1'500};  ///< After the first VMs were listed.
   Millis tick{100};
+  LagSettings lag;
+  Millis yield_pause{15'000};  ///< Before it runs for a cell that it yielded.
   Millis owner_patience{700};  ///< For an owner, if nothing is in doubt.
   Millis owner_retry{60};
   Millis answer_margin{150};  ///< Left of a caller's time for the answer.
@@ -74,6 +77,8 @@
   void OnGone(const std::string& id);
   void FollowDirectory();
   int OwnedCells() const;
+  /// Gives one cell away if the processor can't keep up.
+  void CheckLag(Millis took);
   std::shared_ptr<CellOwner> MakeOwner(CellOwner::Ownership ownership,
                                        std::function<bool()> is_fresh,
                                        std::function<void()> on_deposed);
@@ -97,6 +102,7 @@
   std::vector<std::shared_ptr<CellMember>> members_;
   /// What the cells' owners have learned of tails, encoded, by cell.
   std::map<int, records::Bytes> tails_;
+  LagWatch lag_;
   std::optional<CellBalancer> balancer_;  ///< Once the layout is known.
 };
 
--- a/src/libs/jobs/placer.cc
+++ b/src/libs/jobs/placer.cc
@@ -40,8 +40,6 @@
 bool Placer::IsEligible(const Vm& vm, const StepSpec& spec,
                         const std::string& service, Millis now) const {
   if (!TakesRuns(vm, spec, service, now)) return false;
-  const bool yields = !spec.best_effort && !spec.long_running;
-  if (yields && vm.reserved_for && now < vm.reserved_until) return false;
   if (!spec.Charge().FitsIn(vm.Free())) return false;
   if (!spec.best_effort) return true;
   return Unused(vm) >= spec.need.cpu_millis;
@@ -94,6 +92,10 @@
   return cost + static_cast<double>(vm.Free().cpu_millis);
 }
 
+static bool IsReservedForOther(const Vm& vm, const TaskRef& ref, Millis now) {
+  return vm.reserved_for && now < vm.reserved_until && *vm.reserved_for != ref;
+}
+
 static int CountOn(const std::string& vm, const std::vector<Task>& tasks) {
   int count = 0;
   for (const Task& task : tasks) {
@@ -105,12 +107,14 @@
 }
 
 Place Placer::Pick(const std::vector<Vm*>& vms, const StepSpec& spec,
-                   const std::string& service, const Task& task,
-                   const std::vector<Task>& siblings, Millis now) const {
+                   const std::string& service, const TaskRef& ref,
+                   const Task& task, const std::vector<Task>& siblings,
+                   Millis now) const {
   Place best;
   double best_cost = 0;
   for (Vm* vm : vms) {
     if (!IsEligible(*vm, spec, service, now)) continue;
+    if (!spec.best_effort && IsReservedForOther(*vm, ref, now)) continue;
     if (spec.max_per_vm > 0 &&
         CountOn(vm->listing.id, siblings) >= spec.max_per_vm) {
       continue;
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -25,10 +25,10 @@
   /// Precondition: `tails` outlives the placer.
   explicit Placer(const TailWatch& tails) : tails_(tails) {}
 
-  /// The best of `vms` for a run of `task`. `siblings` are the tasks of the
-  /// same step and occurrence.
+  /// The best of `vms` for a run of `task`, which is called `ref`. `siblings`
+  /// are the tasks of the same step and occurrence.
   Place Pick(const std::vector<Vm*>& vms, const StepSpec& spec,
-             const std::string& service, const Task& task,
+             const std::string& service, const TaskRef& ref, const Task& task,
              const std::vector<Task>& siblings, Millis now) const;
 
   /// The VM that will soonest have room for a long-running task, once shorter
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -105,9 +105,9 @@
   for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
     if (!NeedsRun(tasks[index], now)) continue;
     if (unplaceable_.Covers(spec, job.record.service)) return;
-    const Place place =
-        placer_.Pick(vms, spec, job.record.service, tasks[index], tasks, now);
     const TaskRef ref{job.id, occurrence.number, step, index};
+    const Place place = placer_.Pick(vms, spec, job.record.service, ref,
+                                     tasks[index], tasks, now);
     if (!place.vm) {
       if (spec.long_running) {
         ReserveFor(ref, spec, job.record.service, vms, now);
@@ -139,11 +139,11 @@
     }
     std::vector<Order> placed;
     for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
-      const Place place =
-          placer_.Pick(vms, spec, job.record.service, tasks[index], tasks, now);
+      const TaskRef ref{job.id, occurrence.number, step, index};
+      const Place place = placer_.Pick(vms, spec, job.record.service, ref,
+                                       tasks[index], tasks, now);
       if (!place.vm) break;
-      StartTask(job, {job.id, occurrence.number, step, index}, place, number,
-                now, placed);
+      StartTask(job, ref, place, number, now, placed);
     }
     if (placed.size() == tasks.size()) {
       orders.insert(orders.end(), placed.begin(), placed.end());
--- a/src/libs/jobs/scheduler_room.cc
+++ b/src/libs/jobs/scheduler_room.cc
@@ -55,7 +55,7 @@
   if (spec.gang) return false;
   Task& task = tasks[key.first.index];
   const Place place =
-      placer_.Pick(vms, spec, job.record.service, task, tasks, now);
+      placer_.Pick(vms, spec, job.record.service, key.first, task, tasks, now);
   if (!place.vm) {
     ReserveFor(key.first, spec, job.record.service, vms, now);
     return false;
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -3,6 +3,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -18,6 +19,10 @@
 static constexpr std::size_t kMaxIdlePerPeer = 12;
 static constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20;
 
+static constexpr char kReceiveStep[] = "receive";
+/// Read at a time; small reads of large answers take a turn of the loop each.
+static constexpr std::size_t kReadBytes = 16 * 1024;
+
 using Stream = std::unique_ptr<beast::tcp_stream>;
 
 class HttpClient::Private {
@@ -78,6 +83,7 @@
                       failure.message()};
     }
     beast::flat_buffer buffer;
+    buffer.reserve(kReadBytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(kMaxResponseBytes);
     co_await http::async_read(
@@ -86,7 +92,7 @@
     if (failure) {
       const bool timed_out = failure == beast::error::timeout;
       co_return Error{timed_out ? ErrorCode::kTimeout : ErrorCode::kUnavailable,
-                      "receive", address, failure.message()};
+                      kReceiveStep, address, failure.message()};
     }
     *keep_alive = parser.get().keep_alive();
     HttpResponse response;
@@ -114,6 +120,7 @@
                                                        Millis timeout) {
   const std::shared_ptr<Private> d = d_;
   bool keep_alive = false;
+  std::optional<Error> sent_before;
   if (Stream idle = d->TakeIdle(address)) {
     Result<HttpResponse> result =
         co_await d->Exchange(*idle, address, request, timeout, &keep_alive);
@@ -122,9 +129,14 @@
       co_return result;
     }
     if (ErrorOf(result).code == ErrorCode::kTimeout) co_return result;
+    if (ErrorOf(result).step == kReceiveStep) sent_before = ErrorOf(result);
   }
   Result<Stream> connected = co_await d->Connect(address, timeout);
-  if (!IsOk(connected)) co_return ErrorOf(connected);
+  if (!IsOk(connected)) {
+    // The peer may have acted on what went over the connection that broke.
+    if (sent_before) co_return *sent_before;
+    co_return ErrorOf(connected);
+  }
   Stream stream = std::move(ValueOf(connected));
   Result<HttpResponse> result =
       co_await d->Exchange(*stream, address, request, timeout, &keep_alive);
--- a/tests/auto/jobs/room_test.cc
+++ b/tests/auto/jobs/room_test.cc
@@ -105,3 +105,30 @@
   fixture.now = fixture.now + Millis(200);
   CHECK(fixture.Plan().empty());
 }
+
+/// Two tasks leave, and only one other VM has room, for one of them.
+TEST_CASE("no task is stopped for a place that another is moving to") {
+  SchedulerFixture fixture;
+  fixture.AddVm("leaving");
+  StepSpec step = SchedulerFixture::MakeStep(2, 6'000);
+  step.long_running = true;
+  fixture.Accept(kLasting, fixture.MakeJob({step}));
+  REQUIRE(fixture.PlanAndConfirm().size() == 2);
+  fixture.Report("leaving", {{kTask, 1, "", 100, 0},
+                             {{kLasting, 0, 0, 1}, 1, "", 100, 0}});
+  VmListing other = fixture.listings[0];
+  VmListing leaving = other;
+  leaving.draining = true;
+  fixture.scheduler.ListVm(leaving, fixture.now);
+  other.id = "other";
+  other.room.cpu_millis = 8'000;
+  fixture.scheduler.ListVm(other, fixture.now);
+  fixture.Report("other", {});
+  int stops = 0;
+  for (int i = 0; i < 5; ++i) {
+    fixture.now = fixture.now + Millis(150);
+    stops += static_cast<int>(
+        OfKind(fixture.PlanAndConfirm(), OrderKind::kStop).size());
+  }
+  CHECK(stops == 1);
+}
