--- a/src/libs/jobs/placer.cc
+++ b/src/libs/jobs/placer.cc
@@ -50,7 +50,7 @@
   Vm* best = nullptr;
   for (Vm* vm : vms) {
     if (!TakesRuns(*vm, spec, service, now)) continue;
-    if (vm->reserved_for && now < vm->reserved_until) continue;
+    if (vm->reservation && now < vm->reservation->until) continue;
     if (!spec.Charge().FitsIn(vm->RoomBesideLongRunning())) continue;
     if (best && vm->Free().cpu_millis <= best->Free().cpu_millis) continue;
     best = vm;
@@ -92,8 +92,16 @@
   return cost + static_cast<double>(vm.Free().cpu_millis);
 }
 
-static bool IsReservedForOther(const Vm& vm, const TaskRef& ref, Millis now) {
-  return vm.reserved_for && now < vm.reserved_until && *vm.reserved_for != ref;
+/// Whether room that is kept for another task keeps a run of `spec` out.
+static bool IsKeptOut(const Vm& vm, const StepSpec& spec, const TaskRef& ref,
+                      Millis now) {
+  const Reservation* other = vm.ReservationOfOther(ref, now);
+  if (!other) return false;
+  if (other->exclusive && !spec.best_effort) return true;
+  if (spec.long_running) return false;
+  // A best-effort run takes nothing but memory from the task that waits.
+  if (!spec.best_effort) return true;
+  return vm.Free().memory_mib - spec.need.memory_mib < other->need.memory_mib;
 }
 
 static int CountOn(const std::string& vm, const std::vector<Task>& tasks) {
@@ -114,7 +122,7 @@
   double best_cost = 0;
   for (Vm* vm : vms) {
     if (!IsEligible(*vm, spec, service, now)) continue;
-    if (!spec.best_effort && IsReservedForOther(*vm, ref, now)) continue;
+    if (IsKeptOut(*vm, spec, ref, now)) continue;
     if (spec.max_per_vm > 0 &&
         CountOn(vm->listing.id, siblings) >= spec.max_per_vm) {
       continue;
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -169,7 +169,7 @@
 void Scheduler::StartTask(Job& job, const TaskRef& ref, const Place& place,
                           int number, Millis now, std::vector<Order>& orders) {
   Vm& vm = *place.vm;
-  if (vm.reserved_for == ref) vm.reserved_for.reset();
+  if (vm.reservation && vm.reservation->task == ref) vm.reservation.reset();
   Task& task = job.At(ref);
   const StepSpec& spec = job.record.spec.steps[ref.step];
   Run& run = task.runs.emplace_back();
--- a/src/libs/jobs/scheduler_room.cc
+++ b/src/libs/jobs/scheduler_room.cc
@@ -9,9 +9,9 @@
                            const std::vector<Vm*>& vms, Millis now) {
   int reserved = 0;
   for (Vm* vm : vms) {
-    if (!vm->reserved_for || now >= vm->reserved_until) continue;
-    if (vm->reserved_for == ref) {
-      vm->reserved_until = now + settings_.reservation;
+    if (!vm->reservation || now >= vm->reservation->until) continue;
+    if (vm->reservation->task == ref) {
+      vm->reservation->until = now + settings_.reservation;
       return;
     }
     ++reserved;
@@ -19,8 +19,8 @@
   if (reserved >= settings_.most_reservations) return;
   Vm* vm = Placer::PickToReserve(vms, spec, service, now);
   if (!vm) return;
-  vm->reserved_for = ref;
-  vm->reserved_until = now + settings_.reservation;
+  vm->reservation = Reservation{ref, spec.Charge(), now + settings_.reservation,
+                                /*exclusive=*/false};
 }
 
 void Scheduler::PlanEvacuations(const std::vector<Vm*>& vms, Millis now,
@@ -62,8 +62,10 @@
   }
   OrderStop(key.first, *task.FindRun(key.second), now, orders);
   // Keeps the place until the stopped run has ended.
-  place.vm->reserved_for = key.first;
-  place.vm->reserved_until = now + settings_.stop_time + settings_.stop_margin;
+  place.vm->reservation =
+      Reservation{key.first, spec.Charge(),
+                  now + settings_.stop_time + settings_.stop_margin,
+                  /*exclusive=*/true};
   return true;
 }
 
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -85,6 +85,12 @@
   serving_cpu_ = 0;
 }
 
+const Reservation* Vm::ReservationOfOther(const TaskRef& task,
+                                          Millis now) const {
+  if (!reservation || now >= reservation->until) return nullptr;
+  return reservation->task == task ? nullptr : &*reservation;
+}
+
 records::Resources Vm::RoomBesideLongRunning() const {
   records::Resources room = listing.room;
   for (const auto& [key, run] : runs_) {
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -34,6 +34,16 @@
 /// What a run of a step counts as.
 RunOnVm MakeRunOnVm(const StepSpec& spec);
 
+/// Room that is kept on a VM for a long-running task.
+struct Reservation {
+  TaskRef task;
+  records::Resources need;
+  Millis until;
+  /// The task was stopped elsewhere for this place. Else other long-running
+  /// tasks that fit already go first.
+  bool exclusive = false;
+};
+
 using RunKey = std::pair<TaskRef, int>;
 
 /// How far a tail is from its target, as a line over added best-effort work.
@@ -74,6 +84,8 @@
   int Serving() const { return serving_; }
   std::int64_t ServingCpu() const { return serving_cpu_; }
   const std::map<RunKey, RunOnVm>& Runs() const { return runs_; }
+  /// Null if no room is kept for another task than `task`.
+  const Reservation* ReservationOfOther(const TaskRef& task, Millis now) const;
   /// The room that is left once all but long-running tasks have ended.
   records::Resources RoomBesideLongRunning() const;
   /// Null if the run is not there.
@@ -93,10 +105,7 @@
   std::int64_t durable_end = 0;  ///< The newest that the journal covers.
   int failures_in_row = 0;
   Millis quarantined_until;
-  /// A long-running task that waits for room here; until then no other charged
-  /// task comes in.
-  std::optional<TaskRef> reserved_for;
-  Millis reserved_until;
+  std::optional<Reservation> reservation;
   Millis paced_at;     ///< When a pace was last ordered.
   Millis observed_at;  ///< When its tails were last learned from.
   /// By best-effort image; emptied whenever what runs changes.
--- a/tests/auto/jobs/room_test.cc
+++ b/tests/auto/jobs/room_test.cc
@@ -132,3 +132,39 @@
   }
   CHECK(stops == 1);
 }
+
+/// A VM of 16 cores has 6 free and short tasks on the rest; one long-running
+/// task waits for 12 cores of it, and a smaller one comes after.
+TEST_CASE("room that is kept for a large task is open to one that fits now") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.Accept(ShortId(0), fixture.MakeJob({fixture.MakeStep(1, 10'000)}));
+  REQUIRE(fixture.PlanAndConfirm().size() == 1);
+  fixture.Accept(kLasting, MakeLasting(12'000));
+  CHECK(fixture.Plan().empty());
+  const std::string smaller(16, 'c');
+  fixture.Accept(smaller, MakeLasting(5'000));
+  fixture.now = fixture.now + Millis(100);
+  const std::vector<Order> orders = fixture.Plan();
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].task.job == smaller);
+}
+
+TEST_CASE("best-effort runs leave the memory that a reserved task waits for") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  StepSpec large = SchedulerFixture::MakeStep(1, 10'000);
+  large.need.memory_mib = 40'000;
+  fixture.Accept(ShortId(0), fixture.MakeJob({large}));
+  REQUIRE(fixture.PlanAndConfirm().size() == 1);
+  StepSpec lasting = large;
+  lasting.long_running = true;
+  fixture.Accept(kLasting, fixture.MakeJob({lasting}));
+  CHECK(fixture.Plan().empty());
+  StepSpec best_effort = SchedulerFixture::MakeStep(4, 1'000);
+  best_effort.best_effort = true;
+  best_effort.need.memory_mib = 20'000;
+  fixture.Accept(ShortId(1), fixture.MakeJob({best_effort}));
+  fixture.now = fixture.now + Millis(100);
+  CHECK(fixture.Plan().empty());
+}
