--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -126,6 +126,8 @@
   void Wake();
   void RunPlan();
   void Depose();
+  /// Cell and token, for a line of the log.
+  std::string LogFields() const;
   Millis Now() const { return clock_.Monotonic(); }
 
   net::asio::io_context& context_;
--- /dev/null
+++ b/src/libs/jobs/scheduler_status.cc
@@ -0,0 +1,119 @@
+#include <algorithm>
+
+#include "jobs/scheduler.h"
+
+namespace basilspur::jobs {
+
+bool Scheduler::Knows(const std::string& id) const {
+  return jobs_.contains(id);
+}
+
+bool Scheduler::IsAccepted(const std::string& id) const {
+  const auto found = jobs_.find(id);
+  return found != jobs_.end() && found->second->accepted;
+}
+
+bool Scheduler::IsEnded(const std::string& id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() || IsFinal(found->second->shown);
+}
+
+std::optional<ShownState> Scheduler::Shown(const std::string& id) const {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return std::nullopt;
+  const Job& job = *found->second;
+  switch (job.shown) {
+    case JobStatus::kDone:
+      return ShownState::kDone;
+    case JobStatus::kFailed:
+      return ShownState::kFailed;
+    case JobStatus::kCancelled:
+      return ShownState::kCancelled;
+    case JobStatus::kActive:
+      break;
+  }
+  return job.begun ? ShownState::kRunning : ShownState::kQueued;
+}
+
+Millis Scheduler::AgeOf(const std::string& id, Millis now) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? Millis(0) : now - found->second->accepted_at;
+}
+
+int Scheduler::Pending(std::string_view queue) const {
+  int pending = 0;
+  for (const auto& [key, job] : active_) {
+    if (!job->begun && job->accepted && job->record.queue == queue) ++pending;
+  }
+  return pending;
+}
+
+static void CountStep(const StepSpec& spec, const Step& step,
+                      CellSummary& summary) {
+  for (const Task& task : step.tasks) {
+    summary.runs += static_cast<int>(task.runs.size());
+    if (task.done) continue;
+    if (spec.best_effort) {
+      summary.best_effort_cpu_millis += spec.need.cpu_millis;
+    }
+    if (!task.runs.empty()) continue;
+    if (!spec.best_effort) summary.waiting_cpu_millis += spec.need.cpu_millis;
+    ++summary.waiting_tasks;
+    if (spec.long_running) ++summary.waiting_long_running;
+    if (spec.best_effort) ++summary.waiting_best_effort;
+  }
+}
+
+CellSummary Scheduler::Summary(Millis now) const {
+  CellSummary summary;
+  summary.active_jobs = static_cast<int>(active_.size());
+  for (const auto& [key, job] : active_) {
+    const int before = summary.waiting_tasks;
+    for (const Occurrence& occurrence : job->occurrences) {
+      for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        if (!job->DependenciesDone(occurrence, static_cast<int>(step))) {
+          continue;
+        }
+        CountStep(job->record.spec.steps[step], occurrence.steps[step],
+                  summary);
+      }
+    }
+    if (summary.waiting_tasks == before) continue;
+    summary.oldest_wait = std::max(summary.oldest_wait, now - job->accepted_at);
+  }
+  for (const auto& [id, vm] : vms_) {
+    if (!vm->listed) continue;
+    if (!vm->reachable) ++summary.unreachable_vms;
+    summary.free_cpu_millis += vm->Free().cpu_millis;
+    summary.room_cpu_millis += vm->listing.room.cpu_millis;
+  }
+  return summary;
+}
+
+std::optional<VmListing> Scheduler::Listing(const std::string& vm) const {
+  const auto found = vms_.find(vm);
+  if (found == vms_.end() || found->second->listing.address.empty()) {
+    return std::nullopt;
+  }
+  return found->second->listing;
+}
+
+VmLoad Scheduler::LoadOf(const std::string& vm) const {
+  const auto found = vms_.find(vm);
+  if (found == vms_.end() || found->second->Runs().empty()) {
+    return VmLoad::kIdle;
+  }
+  const Vm& known = *found->second;
+  const bool mixed = known.Serving() > 0 && known.BestEffortCpu() > 0;
+  return mixed ? VmLoad::kMixed : VmLoad::kBusy;
+}
+
+std::vector<VmListing> Scheduler::VmsToRenew() const {
+  std::vector<VmListing> renewed;
+  for (const auto& [id, vm] : vms_) {
+    if (!vm->listing.address.empty()) renewed.push_back(vm->listing);
+  }
+  return renewed;
+}
+
+}  // namespace basilspur::jobs
--- a/src/libs/jobs/tail_watch.cc
+++ b/src/libs/jobs/tail_watch.cc
@@ -210,9 +210,17 @@
   vm.tail_lines.clear();
 }
 
+bool TailWatch::IsOverTooLong(const Vm& vm, Millis now) const {
+  // Not only the worst: which tail is the worst changes within seconds.
+  for (const auto& [key, run] : vm.Runs()) {
+    if (run.over_since == Millis(0)) continue;
+    if (now - run.over_since >= settings_.longest_over) return true;
+  }
+  return false;
+}
+
 void TailWatch::Throttle(Vm& vm, const RunOnVm& victim, Millis now) {
-  const bool too_long = victim.over_since != Millis(0) &&
-                        now - victim.over_since >= settings_.longest_over;
+  const bool too_long = IsOverTooLong(vm, now);
   Mix mix;
   mix.services.assign(1, victim.image);
   const auto room = static_cast<double>(vm.listing.room.cpu_millis);
--- a/src/libs/jobs/tail_watch.h
+++ b/src/libs/jobs/tail_watch.h
@@ -60,6 +60,7 @@
   double BaseOf(const std::string& image, std::int64_t target_ms) const;
   void LearnBases(const TailRecord& record);
   void LearnBase(const RunOnVm& run, double alone_ms);
+  bool IsOverTooLong(const Vm& vm, Millis now) const;
   void Throttle(Vm& vm, const RunOnVm& victim, Millis now);
   void Release(Vm& vm, Millis now);
   void SetPace(Vm& vm, RunOnVm& run, int percent, Millis now);
--- a/tests/auto/jobs/tail_watch_test.cc
+++ b/tests/auto/jobs/tail_watch_test.cc
@@ -175,3 +175,25 @@
   CHECK(watch.PaceFor(MakeVm(), "heavy", 2'000) < 50);
   CHECK(watch.Learned().pairs.empty());
 }
+
+TEST_CASE("a tail is over for too long though another is the worst just now") {
+  TailSettings settings;
+  TailWatch watch{settings};
+  Teach(watch, "light", kBaseMs);
+  Vm vm = MakeVm();
+  const RunKey second{{"second", 0, 0, 0}, 1};
+  RunOnVm served;
+  served.tail_target_ms = kTargetMs;
+  served.image = "index";
+  served.figure = kBaseMs;
+  vm.Add(second, served);
+  AddBatch(vm, "light");
+  const Millis began(30'000);
+  vm.FindRun(kServed)->figure = kTargetMs + 1;
+  watch.Observe(vm, began);
+  const Millis later = began + settings.longest_over + Millis(100);
+  vm.FindRun(second)->figure = 2 * kTargetMs;
+  watch.Observe(vm, later);
+  watch.Pace(vm, later);
+  CHECK(vm.FindRun(kBatch)->pace == 0);
+}
