--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -184,6 +184,8 @@
   const bool renewal = record.token >= 0;
   std::vector<jobs::SilentVm> silent;
   const std::shared_ptr<CellOwner> owner = renewal ? owner_ : nullptr;
+  // Also a cell without VMs is told once, not on every tick.
+  const bool tells_load = owner && owner->IsReady();
   if (owner) {
     record.load = owner->Load();
     silent = owner->TellSilentVms();
@@ -209,7 +211,7 @@
           election_.OnRenewed(answer.offset + count - 1, sent, now);
           surroundings_.on_load(record.load);
           NoteSilentVms(record);
-          load_told_ = load_told_ || record.load.room > 0;
+          load_told_ = load_told_ || tells_load;
           if (owner) owner->OnSilentVmsTold(silent);
         }
       } else {
--- a/src/libs/jobs/catalog.h
+++ b/src/libs/jobs/catalog.h
@@ -18,7 +18,7 @@
   int attempts = 1;     ///< Failed runs of a task that end its job.
   /// A job's latency objective: this many times its longest chain of runs,
   /// and the slack.
-  double stretch = 1;
+  double objective_factor = 1;
   std::int64_t slack_ms = 0;
 };
 
--- a/src/libs/jobs/service_order.cc
+++ b/src/libs/jobs/service_order.cc
@@ -20,8 +20,8 @@
 Millis ServiceOrder::PatienceOf(const Job& job, const QueueConfig& queue,
                                 double step_ms) const {
   const double chain = step_ms * job.record.spec.LongestChain();
-  const double spare =
-      (queue.stretch - 1) * chain + static_cast<double>(queue.slack_ms);
+  const double spare = (queue.objective_factor - 1) * chain +
+                       static_cast<double>(queue.slack_ms);
   const double patience = kPatienceShare * std::max(spare, 0.0);
   return Millis(static_cast<std::int64_t>(patience));
 }
--- a/tests/auto/jobs/service_order_test.cc
+++ b/tests/auto/jobs/service_order_test.cc
@@ -12,7 +12,7 @@
 static QueueConfig MakeQueue() {
   QueueConfig queue;
   queue.name = "reports";
-  queue.stretch = 3;
+  queue.objective_factor = 3;
   queue.slack_ms = 400;
   return queue;
 }
@@ -65,7 +65,7 @@
 /// done within 3.4 s of its arrival.
 TEST_CASE("in a lasting burst, jobs that come later are done in time") {
   SchedulerFixture fixture;
-  fixture.queue.stretch = 3;
+  fixture.queue.objective_factor = 3;
   fixture.queue.slack_ms = 400;
   Catalog catalog;
   catalog.version = 2;
--- a/tests/auto/net/http_client_test.cc
+++ b/tests/auto/net/http_client_test.cc
@@ -14,6 +14,13 @@
     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 static constexpr Millis kTimeout(2'000);
 
+static net::HttpRequest MakeRequest() {
+  net::HttpRequest request;
+  request.method = "GET";
+  request.target = "/";
+  return request;
+}
+
 static asio::awaitable<void> ReadRequest(Tcp::socket& socket) {
   std::string text;
   co_await asio::async_read_until(socket, asio::dynamic_buffer(text),
@@ -44,9 +51,7 @@
       context,
       [&]() -> asio::awaitable<void> {
         net::HttpClient client(context);
-        net::HttpRequest request;
-        request.method = "GET";
-        request.target = "/";
+        const net::HttpRequest request = MakeRequest();
         const auto first = co_await client.Call(address, request, kTimeout);
         CHECK(IsOk(first));
         second = co_await client.Call(address, request, kTimeout);
@@ -65,9 +70,7 @@
       context,
       [&]() -> asio::awaitable<void> {
         net::HttpClient client(context);
-        net::HttpRequest request;
-        request.method = "GET";
-        request.target = "/";
+        const net::HttpRequest request = MakeRequest();
         answer = co_await client.Call("127.0.0.1:1", request, kTimeout);
       },
       asio::detached);
