--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -32,6 +32,8 @@
   Millis created_at;  ///< When the run was started or found; 0: restored run.
   Millis progressed_at;  ///< When `percent` last rose.
   int starts_sent = 0;
+  /// Number of the first journal batch that lists the run; 0: restored run.
+  std::int64_t journal_batch = 0;
   int percent = 0;
   bool had_unanswered_start = false;  ///< A start was not answered.
   bool stop_confirmed = false;
--- a/src/libs/jobs/journal_batch.h
+++ b/src/libs/jobs/journal_batch.h
@@ -19,6 +19,7 @@
 
 /// Entries to write to the journal, and the state that they make durable.
 struct JournalBatch {
+  std::int64_t number = 0;  ///< Counts the owner's batches from 1.
   std::vector<JournalEntry> entries;
   std::map<std::string, JobStatus> jobs;  ///< Status after this batch.
   /// By VM: number of the newest run end that was processed.
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -204,6 +204,7 @@
 JournalBatch Scheduler::TakeBatch(std::int64_t wall_ms) {
   PurgeEndedJobs(wall_ms);
   JournalBatch batch;
+  batch.number = ++taken_batches_;
   batch.entries = std::move(pending_deletions_);
   pending_deletions_.clear();
   for (const std::string& id : dirty_jobs_) {
@@ -238,6 +239,7 @@
 }
 
 void Scheduler::OnDurable(const JournalBatch& batch) {
+  durable_batches_ = batch.number;
   for (const auto& [id, status] : batch.jobs) {
     Job* job = FindJob(id);
     if (!job) continue;
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -229,7 +229,10 @@
   void StopStalledRuns(Job& job, Millis now);
   void PlanStopsOfEndedJobs(Millis now, std::vector<RunCommand>& commands);
   void PlanStopsOfOrphanedRuns(Millis now, std::vector<RunCommand>& commands);
-  void IssueStop(const TaskRef& ref, Run& run, Millis now,
+  /// Returns false, and issues no command, while the journal does not list the
+  /// run: a VM reports no run that it is stopping, so a successor could not
+  /// know of it.
+  bool IssueStop(const TaskRef& ref, Run& run, Millis now,
                  std::vector<RunCommand>& commands);
   std::vector<Vm*> AllVms();
   bool CanStartRuns(const Job& job) const;
@@ -257,6 +260,8 @@
   std::vector<JournalEntry> pending_deletions_;
   /// VMs whose records have to be written, with their newest processed ends.
   std::map<std::string, std::int64_t> dirty_vms_;
+  std::int64_t taken_batches_ = 0;
+  std::int64_t durable_batches_ = 0;
   /// Runs on VMs that belong to no task and have to be stopped, with the time
   /// of the last stop command.
   std::map<std::pair<std::string, RunKey>, Millis> orphaned_runs_;
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -180,6 +180,7 @@
   run.vm = vm.listing.id;
   run.created_at = run.last_command_at = run.progressed_at = now;
   run.starts_sent = 1;
+  run.journal_batch = taken_batches_ + 1;
   task.last_run = number;
   RunOnVm run_on_vm = MakeRunOnVm(spec);
   run_on_vm.pace_percent = place.pace_percent;
@@ -190,8 +191,9 @@
   MarkProgressDirty(job);
 }
 
-void Scheduler::IssueStop(const TaskRef& ref, Run& run, Millis now,
+bool Scheduler::IssueStop(const TaskRef& ref, Run& run, Millis now,
                           std::vector<RunCommand>& commands) {
+  if (run.journal_batch > durable_batches_) return false;
   RunCommand command;
   command.kind = RunCommandKind::kStop;
   command.vm = run.vm;
@@ -200,6 +202,7 @@
   commands.push_back(command);
   run.phase = RunPhase::kStopping;
   run.last_command_at = now;
+  return true;
 }
 
 void Scheduler::PlanRetries(Job& job, Millis now,
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -79,6 +79,7 @@
     run->number = row.run;
     run->vm = vm.listing.id;
     run->created_at = run->last_command_at = now;
+    run->journal_batch = taken_batches_ + 1;
     task->last_run = row.run;
     const StepSpec& spec = job->record.spec.steps[row.task.step];
     vm.Add(key, MakeRunOnVm(spec));
--- a/src/libs/jobs/scheduler_reservations.cc
+++ b/src/libs/jobs/scheduler_reservations.cc
@@ -61,7 +61,9 @@
     ReserveCapacityFor(key.first, spec, job.record.service, vms, now);
     return false;
   }
-  IssueStop(key.first, *task.FindRun(key.second), now, commands);
+  if (!IssueStop(key.first, *task.FindRun(key.second), now, commands)) {
+    return false;
+  }
   // Reserves the place until the stopped run has ended.
   place.vm->reservation =
       Reservation{key.first, spec.Charge(),
--- a/tests/auto/jobs/scheduler_test.cc
+++ b/tests/auto/jobs/scheduler_test.cc
@@ -141,6 +141,7 @@
   fixture.AddVm("vm");
   fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(2, 1'000)}));
   REQUIRE(fixture.PlanAndConfirm().size() == 2);
+  fixture.Flush();
   const RunningRunReport other = MakeRunning({kJob, 0, 0, 1}, 1);
   fixture.Report("vm", {other},
                  {fixture.MakeEnd(1, kTask, 1, RunEnd::kFailed)});
--- a/tests/auto/jobs/successor_test.cc
+++ b/tests/auto/jobs/successor_test.cc
@@ -88,3 +88,33 @@
   }
   CHECK(started == 1);
 }
+
+/// While a VM stops a run, the run is in none of the VM's lists. If it is in no
+/// journal either, a successor can't know of it.
+TEST_CASE("a run that is being stopped is known to a successor") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  REQUIRE(CountStarts(fixture.PlanAndConfirm()) == 1);
+  // The predecessor ends before the journal holds anything of the plan.
+  fixture.scheduler.Cancel(kJob, fixture.wall_ms);
+  const auto being_stopped = static_cast<int>(fixture.Plan().size());
+  const std::unique_ptr<Scheduler> successor =
+      fixture.TakeOver(kFirstRunOfSuccessor);
+  successor->OnReport("vm", EmptyReport(fixture.now), fixture.now, fixture.now);
+  const int started_again =
+      CountStarts(successor->Plan(fixture.wall_ms, fixture.now));
+  CHECK(being_stopped + started_again <= 1);
+}
+
+TEST_CASE("a cancelled run is stopped once the journal holds it") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  REQUIRE(CountStarts(fixture.PlanAndConfirm()) == 1);
+  fixture.scheduler.Cancel(kJob, fixture.wall_ms);
+  fixture.Flush();
+  const std::vector<RunCommand> commands = fixture.Plan();
+  REQUIRE(commands.size() == 1);
+  CHECK(commands[0].kind == RunCommandKind::kStop);
+}
