--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -103,9 +103,7 @@
   kLog.Info("event=predecessors_stopped" + LogFields());
 }
 
-void CellOwner::OnVmUnlisted(const std::string& id) {
-  scheduler_.UnlistVm(id, Now());
-}
+void CellOwner::OnVmUnlisted(const std::string& id) { scheduler_.UnlistVm(id); }
 
 void CellOwner::Tick() {
   // Lets waiting requests check their deadlines while no batch becomes durable.
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -50,11 +50,9 @@
   vms_[listing.id] = std::move(vm);
 }
 
-void Scheduler::UnlistVm(const std::string& id, Millis now) {
+void Scheduler::UnlistVm(const std::string& id) {
   Vm* vm = FindVm(id);
-  if (!vm) return;
-  vm->listed = false;
-  ProcessExpiredLeases(now);
+  if (vm) vm->listed = false;
 }
 
 void Scheduler::Restore(const std::string& id, const JobRecord& record,
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -73,8 +73,9 @@
   /// Adds a VM that is on the platform's list, or updates its listing.
   void UpsertVm(const VmListing& listing, Millis now);
   /// Marks a VM as no longer listed. It gets no new runs; its present runs
-  /// still count against its capacity.
-  void UnlistVm(const std::string& id, Millis now);
+  /// still count against its capacity. Later plans remove it once it has no
+  /// runs and its lease has expired.
+  void UnlistVm(const std::string& id);
 
   /// Restores a job from the journal. Call for all jobs before the first plan.
   void Restore(const std::string& id, const JobRecord& record,
--- a/tests/auto/jobs/scheduler_fixture.cc
+++ b/tests/auto/jobs/scheduler_fixture.cc
@@ -104,13 +104,16 @@
   scheduler.OnReport(vm, report, sent, now);
 }
 
-std::unique_ptr<Scheduler> SchedulerFixture::TakeOver(int first_run_number) {
+std::unique_ptr<Scheduler> SchedulerFixture::TakeOver(
+    int first_run_number,
+    const std::function<void(Scheduler&)>& before_restore) {
   auto next = std::make_unique<Scheduler>(settings);
   Catalog catalog;
   catalog.version = 1;
   catalog.queues = {queue};
   next->ApplyCatalog(catalog);
   for (const VmListing& listing : listings) next->UpsertVm(listing, now);
+  if (before_restore) before_restore(*next);
   for (const auto& [key, value] : journal) {
     if (!key.starts_with('v')) continue;
     const auto record = records::Decode<VmRecord>(value);
--- a/tests/auto/jobs/scheduler_fixture.h
+++ b/tests/auto/jobs/scheduler_fixture.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_AUTO_JOBS_SCHEDULER_FIXTURE_H_
 #define TESTS_AUTO_JOBS_SCHEDULER_FIXTURE_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -38,8 +39,11 @@
   /// Answers a command with this outcome.
   void Answer(const RunCommand& command, RunCommandOutcome outcome);
   /// Returns the scheduler of a new owner, restored from the journal, with the
-  /// same VMs listed.
-  std::unique_ptr<Scheduler> TakeOver(int first_run_number);
+  /// same VMs listed. Calls `before_restore` with it while its journal is still
+  /// being read.
+  std::unique_ptr<Scheduler> TakeOver(
+      int first_run_number,
+      const std::function<void(Scheduler&)>& before_restore = {});
 
   Scheduler scheduler{SchedulerSettings{}};
   SchedulerSettings settings;
--- a/tests/auto/jobs/scheduler_test.cc
+++ b/tests/auto/jobs/scheduler_test.cc
@@ -377,7 +377,7 @@
     listing.draining = true;
     fixture.scheduler.UpsertVm(listing, fixture.now);
   }
-  SECTION("unlisted") { fixture.scheduler.UnlistVm("vm", fixture.now); }
+  SECTION("unlisted") { fixture.scheduler.UnlistVm("vm"); }
   fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
   CHECK(fixture.Plan().empty());
 }
--- a/tests/auto/jobs/successor_test.cc
+++ b/tests/auto/jobs/successor_test.cc
@@ -118,3 +118,43 @@
   REQUIRE(commands.size() == 1);
   CHECK(commands[0].kind == RunCommandKind::kStop);
 }
+
+/// The platform's list changes while the successor still reads the journal.
+TEST_CASE("a change of the VM list during a take-over voids no run end") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.AddVm("leaving");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  const std::vector<RunCommand> started = fixture.PlanAndConfirm();
+  REQUIRE(CountStarts(started) == 1);
+  fixture.Flush();
+  const std::string used = started[0].vm;
+  const std::string other = used == "vm" ? "leaving" : "vm";
+  const std::unique_ptr<Scheduler> successor = fixture.TakeOver(
+      kFirstRunOfSuccessor,
+      [&](Scheduler& scheduler) { scheduler.UnlistVm(other); });
+  VmReport report = EmptyReport(fixture.now);
+  report.ended = {fixture.MakeEnd(1, kTask, 1, RunEnd::kDone)};
+  successor->OnReport(used, report, fixture.now, fixture.now);
+  successor->OnReport(other, EmptyReport(fixture.now), fixture.now,
+                      fixture.now);
+  CHECK(CountStarts(successor->Plan(fixture.wall_ms, fixture.now)) == 0);
+  successor->OnDurable(successor->TakeBatch(fixture.wall_ms));
+  CHECK(successor->VisibleStateOf(kJob) == VisibleJobState::kDone);
+}
+
+TEST_CASE("a VM that leaves the list during a take-over is still awaited") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.AddVm("leaving");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  const std::unique_ptr<Scheduler> successor = fixture.TakeOver(
+      kFirstRunOfSuccessor,
+      [&](Scheduler& scheduler) { scheduler.UnlistVm("leaving"); });
+  successor->OnReport("vm", EmptyReport(fixture.now), fixture.now, fixture.now);
+  CHECK(CountStarts(successor->Plan(fixture.wall_ms, fixture.now)) == 0);
+  for (const JournalEntry& entry :
+       successor->TakeBatch(fixture.wall_ms).entries) {
+    CHECK(entry.key != "vleaving");
+  }
+}
