Append owner records only where they were made

The evidence is the two new tests.

Cause: CellMember::Tick() makes a claim or a renewal from the records read so far, but co_spawn posts the coroutine, and that took the end of the partition only when it ran. A claim of another entry that the watcher reads in between moved the end, so the append's condition held and the record replaced an owner that it did not consider: its list of former owners omits that owner, and its term is the same. So that owner is not asked to step down, its leases are taken to be over 5.25 s later, its runs that are not journaled are not recognized, and both number their runs alike. A loop that runs late (slow entry, thaw) has both events in one batch.

Fix: the end is taken where the record is made, so the store refuses the append (412) if anything has been read or written in between.

Before the fix: a claim does not replace an owner that was read after it was made CHECK( fixture.NewestRecord().node == "b" ) "a" == "b" CHECK( !fixture.member->Owns() ) false CHECK( ...KnownOwner()->token == token ) 1 == 0 a renewal does not replace an owner that was read after it was made CHECK( fixture.NewestRecord().node == "b" ) "a" == "b" CHECK( !fixture.member->Owns() ) false

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -173,22 +173,25 @@
   // together and are assigned by the published loads.
   const bool load_unpublished = owner_ && owner_->IsReady() && !load_published_;
   if (election_.ShouldRenew(now) || load_unpublished) {
-    net::asio::co_spawn(
-        context_,
-        AppendOwnerRecord(election_.MakeRenewalRecord(identity_.peer_address)),
-        net::asio::detached);
+    StartAppend(election_.MakeRenewalRecord(identity_.peer_address));
   } else if (now >= no_campaign_before_ &&
              election_.ShouldCampaign(owned, now)) {
-    net::asio::co_spawn(
-        context_,
-        AppendOwnerRecord(election_.MakeClaimRecord(identity_.peer_address)),
-        net::asio::detached);
+    StartAppend(election_.MakeClaimRecord(identity_.peer_address));
   }
 }
 
-net::asio::awaitable<void> CellMember::AppendOwnerRecord(OwnerRecord record) {
-  const auto self = shared_from_this();
+void CellMember::StartAppend(OwnerRecord record) {
   appending_ = true;
+  // The coroutine starts later. Records that are read until then are not
+  // considered in `record`, so it must not be appended after them.
+  net::asio::co_spawn(context_,
+                      AppendOwnerRecord(std::move(record), election_.End()),
+                      net::asio::detached);
+}
+
+net::asio::awaitable<void> CellMember::AppendOwnerRecord(
+    OwnerRecord record, std::int64_t expected_end) {
+  const auto self = shared_from_this();
   const Millis sent = clock_.Monotonic();
   const bool renewal = record.token >= 0;
   std::vector<jobs::UnreachableVm> unreachable_vms;
@@ -213,7 +216,7 @@
   }
   const auto count = static_cast<std::int64_t>(records.size());
   const AppendAnswer answer =
-      co_await store_.AppendAt(partition_, election_.End(), std::move(records));
+      co_await store_.AppendAt(partition_, expected_end, std::move(records));
   const Millis now = clock_.Monotonic();
   switch (answer.outcome) {
     case AppendOutcome::kAppended:
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -74,7 +74,11 @@
   /// Creates or stops the owner so that it matches the election.
   void SyncOwner();
   net::asio::awaitable<void> HandOver();
-  net::asio::awaitable<void> AppendOwnerRecord(OwnerRecord record);
+  /// Starts to append a record that was made from all records read so far.
+  void StartAppend(OwnerRecord record);
+  /// Appends if the partition still ends at `expected_end`.
+  net::asio::awaitable<void> AppendOwnerRecord(OwnerRecord record,
+                                               std::int64_t expected_end);
   /// Reads the partition again after an append that was sent at `sent` and was
   /// not confirmed. If this node still owns the cell, the ownership counts as
   /// renewed at `sent`.
--- /dev/null
+++ b/tests/auto/cell/cell_member_fixture.cc
@@ -0,0 +1,114 @@
+#include "auto/cell/cell_member_fixture.h"
+
+#include <chrono>
+#include <utility>
+
+namespace basilspur::cell {
+
+static constexpr Millis kTick(50);
+static constexpr char kNode[] = "a";
+
+net::asio::awaitable<RenewalAnswer> FakeVmClient::Renew(jobs::VmListing,
+                                                        Renewal renewal) {
+  renewals.push_back(renewal);
+  // A renewal is a long poll.
+  co_await net::Sleep(Millis(1));
+  co_return renewal_answer;
+}
+
+net::asio::awaitable<CommandAnswer> FakeVmClient::Send(jobs::VmListing,
+                                                       jobs::RunCommand command,
+                                                       std::int64_t,
+                                                       std::int64_t) {
+  commands.push_back(std::move(command));
+  co_return CommandAnswer{jobs::RunCommandOutcome::kDone, 0};
+}
+
+CellMemberFixture::CellMemberFixture() {
+  CellMember::Callbacks callbacks;
+  callbacks.make_owner = [this](const CellOwner::Ownership& ownership,
+                                std::function<bool()> is_authoritative,
+                                std::function<void()> on_fenced) {
+    ownerships.push_back(ownership);
+    CellOwner::Callbacks owner_callbacks;
+    owner_callbacks.choose_cell = [](int home, const std::string&,
+                                     const jobs::JobSpec&) { return home; };
+    auto owner = std::make_shared<CellOwner>(
+        context, store, vms, clock, CellOwnerSettings{}, ownership,
+        std::move(owner_callbacks), std::move(is_authoritative),
+        std::move(on_fenced));
+    for (const jobs::VmListing& listing : listings) owner->OnVmListed(listing);
+    return owner;
+  };
+  callbacks.call_peer = [this](std::string, JobRequest,
+                               Millis) -> net::asio::awaitable<JobReply> {
+    co_return peer_reply;
+  };
+  callbacks.on_load = [](const CellLoad&) {};
+  callbacks.on_tail_record = [](const records::Bytes&) {};
+  member = std::make_shared<CellMember>(
+      context, store, clock,
+      CellMember::Identity{kNode, std::string(kNode) + "-1", "a:1"},
+      ElectionSettings{}, 0, 7, std::move(callbacks));
+  member->Start();
+  Pump();
+}
+
+CellMemberFixture::~CellMemberFixture() = default;
+
+void CellMemberFixture::Pump() {
+  context.restart();
+  while (context.poll() > 0) {
+  }
+}
+
+void CellMemberFixture::PumpFor(Millis duration) {
+  context.restart();
+  context.run_for(std::chrono::milliseconds(duration.count));
+}
+
+void CellMemberFixture::TickFor(Millis duration) {
+  for (Millis passed; passed < duration; passed = passed + kTick) {
+    clock.Advance(kTick);
+    member->Tick(0);
+    Pump();
+  }
+}
+
+void CellMemberFixture::BecomeOwner() {
+  for (int i = 0; i < 100 && !member->Owns(); ++i) TickFor(kTick);
+}
+
+OwnerRecord CellMemberFixture::MakeRecord(const std::string& node) {
+  OwnerRecord record;
+  record.node = node;
+  record.incarnation = node + "-1";
+  record.address = node + ":1";
+  record.term = 1;
+  return record;
+}
+
+std::int64_t CellMemberFixture::AppendRecord(const OwnerRecord& record) {
+  const auto end = static_cast<std::int64_t>(store.Records(partition).size());
+  store.Append(partition, end, {{"owner", records::Encode(record), 0}});
+  return end;
+}
+
+std::int64_t CellMemberFixture::AppendClaimOf(
+    const std::string& node, std::vector<FormerOwner> former_owners) {
+  OwnerRecord record = MakeRecord(node);
+  record.former_owners = std::move(former_owners);
+  return AppendRecord(record);
+}
+
+OwnerRecord CellMemberFixture::NewestRecord() {
+  const auto& log = store.Records(partition);
+  for (auto record = log.rbegin(); record != log.rend(); ++record) {
+    if (record->key == "owner") {
+      return ValueOf(records::Decode<OwnerRecord>(record->value));
+    }
+  }
+  return {};
+}
+
+}  // namespace basilspur::cell
--- /dev/null
+++ b/tests/auto/cell/cell_member_fixture.h
@@ -0,0 +1,68 @@
+#ifndef TESTS_AUTO_CELL_CELL_MEMBER_FIXTURE_H_
+#define TESTS_AUTO_CELL_CELL_MEMBER_FIXTURE_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "auto/cell/fake_store.h"
+#include "cell/cell_member.h"
+#include "cell/vm_client.h"
+#include "fakes/fake_clock.h"
+
+namespace basilspur::cell {
+
+/// Answers each call at once and keeps what it received.
+class FakeVmClient final : public VmClient {
+ public:
+  net::asio::awaitable<RenewalAnswer> Renew(jobs::VmListing vm,
+                                            Renewal renewal) override;
+  net::asio::awaitable<CommandAnswer> Send(jobs::VmListing vm,
+                                           jobs::RunCommand command,
+                                           std::int64_t fencing_token,
+                                           std::int64_t deadline_ms) override;
+
+  std::vector<Renewal> renewals;
+  std::vector<jobs::RunCommand> commands;
+  /// The answer to each renewal.
+  RenewalAnswer renewal_answer = RenewalFailure::kNoAnswer;
+};
+
+/// One entry's member of cell 0, with a store and VMs in memory.
+class CellMemberFixture {
+ public:
+  CellMemberFixture();
+  ~CellMemberFixture();
+
+  /// Runs what is ready, without waiting for timers.
+  void Pump();
+  /// Runs for this time, timers included.
+  void PumpFor(Millis duration);
+  /// Advances the clock by `duration` in steps of a tick.
+  void TickFor(Millis duration);
+  /// Advances the clock, ticking, until the member owns the cell.
+  void BecomeOwner();
+  /// Appends a claim of the entry `node` at the end of the partition. Returns
+  /// its token.
+  std::int64_t AppendClaimOf(const std::string& node,
+                             std::vector<FormerOwner> former_owners = {});
+  /// Appends a record of the entry `node`.
+  std::int64_t AppendRecord(const OwnerRecord& record);
+  /// The newest owner record in the store.
+  OwnerRecord NewestRecord();
+  static OwnerRecord MakeRecord(const std::string& node);
+
+  net::asio::io_context context;
+  fakes::FakeClock clock;
+  FakeStore store{context};
+  FakeVmClient vms;
+  Partition partition{"keyed.owners", 0};
+  std::vector<CellOwner::Ownership> ownerships;  ///< Of all owners made.
+  std::vector<jobs::VmListing> listings;         ///< Given to new owners.
+  JobReply peer_reply;  ///< Answers requests to other entries.
+  std::shared_ptr<CellMember> member;
+};
+
+}  // namespace basilspur::cell
+
+#endif  // TESTS_AUTO_CELL_CELL_MEMBER_FIXTURE_H_
--- /dev/null
+++ b/tests/auto/cell/cell_member_test.cc
@@ -0,0 +1,42 @@
+#include "cell/cell_member.h"
+
+#include <catch2/catch.hpp>
+
+#include "auto/cell/cell_member_fixture.h"
+
+using namespace basilspur;        // NOLINT(google-build-using-namespace)
+using namespace basilspur::cell;  // NOLINT(google-build-using-namespace)
+
+static const ElectionSettings kSettings;
+static constexpr Millis kTick(50);
+
+TEST_CASE("a claim does not replace an owner that was read after it was made") {
+  CellMemberFixture fixture;
+  // The claim of "b" has been read, but its handler runs only after the tick
+  // that lets this entry campaign.
+  const std::int64_t token = fixture.AppendClaimOf("b");
+  for (Millis passed; passed <= kSettings.campaign_jitter;
+       passed = passed + kTick) {
+    fixture.clock.Advance(kTick);
+    fixture.member->Tick(0);
+  }
+  fixture.Pump();
+  CHECK(fixture.NewestRecord().node == "b");
+  CHECK(!fixture.member->Owns());
+  REQUIRE(fixture.member->KnownOwner());
+  CHECK(fixture.member->KnownOwner()->token == token);
+}
+
+TEST_CASE(
+    "a renewal does not replace an owner that was read after it was made") {
+  CellMemberFixture fixture;
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.TickFor(Millis(300));
+  fixture.AppendClaimOf("b");
+  fixture.clock.Advance(kSettings.renewal_interval);
+  fixture.member->Tick(1);
+  fixture.Pump();
+  CHECK(fixture.NewestRecord().node == "b");
+  CHECK(!fixture.member->Owns());
+}
