Do not release a cell that has a new owner

Cause: CellMember::HandOver() repeats an append that was not confirmed. It checked that it still owned the cell before the pause and not after it. A claim that the watcher read during the pause moved the end of the partition, so the next attempt released the successor's cell: a vacant record, perhaps with journal_complete, after a claim. The next owner then took the cell as handed over, and started older jobs while the other owner was at work. Entries hand over when they are slow and on SIGTERM, and no renewal is sent meanwhile, so others claim after 2.2 s.

Fix: the pause comes first, and nothing is awaited between the check and the next attempt.

Before the fix: a hand-over that is repeated does not release a cell of its successor CHECK( fixture.NewestRecord().node == "b" ) "a" == "b" CHECK( !fixture.NewestRecord().vacant ) false

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -298,9 +298,10 @@
     const AppendAnswer answer = co_await store_.AppendAt(
         partition_, election_.End(), std::move(records));
     if (answer.outcome == AppendOutcome::kAppended) break;
+    co_await net::Sleep(kVacateRetryInterval);
     co_await RereadPartition(clock_.Monotonic());
+    // The next attempt must not follow a claim that was read in the meantime.
     if (election_.Token() != record.token) break;
-    co_await net::Sleep(kVacateRetryInterval);
   }
   election_.StepDown();
 }
--- a/tests/auto/cell/cell_member_test.cc
+++ b/tests/auto/cell/cell_member_test.cc
@@ -40,3 +40,25 @@
   CHECK(fixture.NewestRecord().node == "b");
   CHECK(!fixture.member->Owns());
 }
+
+TEST_CASE(
+    "a hand-over that is repeated does not release a cell of its successor") {
+  CellMemberFixture fixture;
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.PumpFor(Millis(30));
+  // No attempt reaches the store, and "b" claims the cell between two of them.
+  fixture.store.newest_unreadable = true;
+  fixture.store.on_append_at = [&](auto&&...) {
+    fixture.store.on_append_at = nullptr;
+    return AppendAnswer();
+  };
+  net::asio::co_spawn(fixture.context, fixture.member->Yield(Millis(15'000)),
+                      net::asio::detached);
+  fixture.PumpFor(Millis(30));
+  REQUIRE(!fixture.store.on_append_at);
+  fixture.AppendClaimOf("b");
+  fixture.PumpFor(Millis(300));
+  CHECK(fixture.NewestRecord().node == "b");
+  CHECK(!fixture.NewestRecord().vacant);
+}
