Ignore owner records older than the newest one read

Cause: an entry reads owner records in three ways at once: its watcher, the answer to its own append, and RereadPartition(). The latter two run ahead of the watcher, or a frozen entry reads an old answer after a newer one. Election took each record as the newest. CellMember likewise took the list of unreachable VMs from an older record, whose bounds a later record had revoked.

Fix: OnRecord() ignores a record at or below the newest offset read, and says so. A stored renewal is passed to it as a stored claim is, so that it counts as read.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -53,10 +53,13 @@
                " error=\"" + ErrorOf(decoded).ToString() + "\"");
     return;
   }
-  UpdateUnreachableVms(ValueOf(decoded));
   const std::string before =
       election_.Owner() ? election_.Owner()->incarnation : "";
-  election_.OnRecord(ValueOf(decoded), record.offset, clock_.Monotonic());
+  if (!election_.OnRecord(ValueOf(decoded), record.offset,
+                          clock_.Monotonic())) {
+    return;
+  }
+  UpdateUnreachableVms(ValueOf(decoded));
   const auto& owner = election_.Owner();
   if (owner && owner->incarnation != before) {
     kLog.Info("event=owner_changed cell=" + std::to_string(cell_) + " node=" +
@@ -220,16 +223,11 @@
   const Millis now = clock_.Monotonic();
   switch (answer.outcome) {
     case AppendOutcome::kAppended:
-      if (renewal) {
-        if (election_.Token() == record.token) {
-          election_.OnRenewed(answer.offset + count - 1, sent, now);
-          callbacks_.on_load(record.load);
-          UpdateUnreachableVms(record);
-          load_published_ = load_published_ || publishes_load;
-          if (owner) owner->OnUnreachableVmsRecorded(unreachable_vms);
-        }
-      } else {
-        OnRecord({kOwnerKey, written.value, answer.offset});
+      OnRecord({kOwnerKey, written.value, answer.offset});
+      if (renewal && election_.Token() == record.token) {
+        election_.OnRenewed(answer.offset + count - 1, sent, now);
+        load_published_ = load_published_ || publishes_load;
+        if (owner) owner->OnUnreachableVmsRecorded(unreachable_vms);
       }
       break;
     case AppendOutcome::kConflict:
--- a/src/libs/cell/election.cc
+++ b/src/libs/cell/election.cc
@@ -16,8 +16,12 @@
   return record.node == node_ && record.incarnation == incarnation_;
 }
 
-void Election::OnRecord(const OwnerRecord& record, std::int64_t offset,
+bool Election::OnRecord(const OwnerRecord& record, std::int64_t offset,
                         Millis now) {
+  // Records are read in several ways at once: by following the partition, and
+  // by reading the newest ones.
+  if (offset <= newest_offset_) return false;
+  newest_offset_ = offset;
   end_ = std::max(end_, offset + 1);
   term_ = std::max(term_, record.term);
   const std::int64_t token = record.token >= 0 ? record.token : offset;
@@ -29,19 +33,20 @@
     handed_over_ = true;
     vacated_journal_complete_ = record.journal_complete;
     if (token == token_) token_ = -1;
-    return;
+    return true;
   }
   if (token != token_) former_owners_ = record.former_owners;
   if (token == offset) handed_over_ = !owner_ && former_owners_.empty();
   owner_ = record;
   owner_->token = token;
-  if (token < token_) return;
+  if (token < token_) return true;
   if (!IsMine(record) || token <= abandoned_token_) {
     token_ = -1;
-    return;
+    return true;
   }
   if (token_ != token) last_renewal_sent_ = now;
   token_ = token;
+  return true;
 }
 
 void Election::OnEnd(std::int64_t end, Millis now) {
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -39,14 +39,16 @@
   Election(ElectionSettings settings, std::string node, std::string incarnation,
            std::uint64_t seed);
 
-  /// The record at `offset` of the cell's partition was read.
-  void OnRecord(const OwnerRecord& record, std::int64_t offset, Millis now);
+  /// The record at `offset` of the cell's partition was read. Returns false,
+  /// and does nothing, if this record or a later one was read before.
+  bool OnRecord(const OwnerRecord& record, std::int64_t offset, Millis now);
   /// All records before `end` have been read.
   void OnEnd(std::int64_t end, Millis now);
   /// The owner's process with this incarnation has terminated: its address
   /// refuses connections or belongs to another process.
   void OnOwnerTerminated(const std::string& incarnation, Millis now);
-  /// The renewal that was sent at `sent` is stored at `offset`.
+  /// The renewal that was sent at `sent` is stored, and the partition's last
+  /// record is at `offset`.
   void OnRenewed(std::int64_t offset, Millis sent, Millis now);
   /// Releases the cell at once, without a record.
   void StepDown();
@@ -101,7 +103,8 @@
   bool vacated_journal_complete_ = true;
   bool caught_up_ = false;  ///< The partition was read to its end once.
   std::int64_t end_ = 0;
-  Millis owner_last_seen_;  ///< Start of the owner's time-out.
+  std::int64_t newest_offset_ = -1;  ///< Of the newest owner record read.
+  Millis owner_last_seen_;           ///< Start of the owner's time-out.
   std::optional<Millis> campaign_at_;
   std::int64_t token_ = -1;
   std::int64_t term_ = 0;
--- a/tests/auto/cell/election_test.cc
+++ b/tests/auto/cell/election_test.cc
@@ -173,3 +173,35 @@
   REQUIRE(b.Owns());
   CHECK(!b.HasCompleteJournal());
 }
+
+TEST_CASE(
+    "an older record that is read late does not make a cell look released") {
+  Election a = MakeElection("a");
+  Election b = MakeElection("b");
+  Election c = MakeElection("c");
+  a.OnEnd(0, kNow);
+  c.OnEnd(0, kNow);
+  const OwnerRecord first = a.MakeClaimRecord("a:1");
+  a.OnRecord(first, 0, kNow);
+  OwnerRecord vacant = a.MakeRenewalRecord("a:1");
+  vacant.vacant = true;
+  vacant.journal_complete = true;
+  b.OnRecord(first, 0, kNow);
+  b.OnRecord(vacant, 1, kNow);
+  b.OnEnd(2, kNow);
+  // "c" reads the newest record before its watcher delivers the older ones.
+  c.OnRecord(b.MakeClaimRecord("b:1"), 2, kNow);
+  c.OnRecord(first, 0, kNow);
+  c.OnRecord(vacant, 1, kNow);
+  REQUIRE(c.Owner());
+  CHECK(c.Owner()->node == "b");
+  CHECK(!c.ShouldCampaign(0, kNow));
+  REQUIRE(Campaigns(c, kNow + kSettings.owner_timeout));
+  const OwnerRecord claim = c.MakeClaimRecord("c:1");
+  REQUIRE(claim.former_owners.size() == 1);
+  CHECK(claim.former_owners[0].node == "b");
+  c.OnRecord(claim, 3, kNow + kSettings.owner_timeout);
+  REQUIRE(c.Owns());
+  CHECK(!c.WasHandedOver());
+  CHECK(!c.HasCompleteJournal());
+}
