Count an ownership from when its claim was sent

Cause: Election set the time of its newest renewal to the moment at which it read its own claim. Others count from when the claim was stored: they may replace this owner 2.2 s later, and take its leases to be over 17.5 s after that. An entry that was frozen before it read the store's answer, or whose claim was stored though the answer was lost, so was authoritative for 1.5 s and acted for 12 s beyond what others count on.

Fix: MakeClaimRecord() keeps the end of the partition and the time of the first claim made for it; reading the claim counts from that time. A claim can only be stored at that end, so the offset tells which one it is. A record of this process that is none of its claims begins no ownership.

The tests pass the time of each claim; what they check is unchanged.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -179,7 +179,7 @@
     StartAppend(election_.MakeRenewalRecord(identity_.peer_address));
   } else if (now >= no_campaign_before_ &&
              election_.ShouldCampaign(owned, now)) {
-    StartAppend(election_.MakeClaimRecord(identity_.peer_address));
+    StartAppend(election_.MakeClaimRecord(identity_.peer_address, now));
   }
 }
 
--- a/src/libs/cell/election.cc
+++ b/src/libs/cell/election.cc
@@ -40,11 +40,14 @@
   owner_ = record;
   owner_->token = token;
   if (token < token_) return true;
-  if (!IsMine(record) || token <= abandoned_token_) {
+  const bool known_claim = token == token_ || token == claim_offset_;
+  if (!IsMine(record) || token <= abandoned_token_ || !known_claim) {
     token_ = -1;
     return true;
   }
-  if (token_ != token) last_renewal_sent_ = now;
+  // Other nodes count from when the claim was stored, and it may have been
+  // stored as soon as it was sent.
+  if (token_ != token) last_renewal_sent_ = claim_sent_;
   token_ = token;
   return true;
 }
@@ -107,13 +110,21 @@
   std::erase(former_owners_, owner);
 }
 
-OwnerRecord Election::MakeClaimRecord(const std::string& address) const {
+OwnerRecord Election::MakeRecord(const std::string& address) const {
   OwnerRecord record;
   record.node = node_;
   record.incarnation = incarnation_;
   record.address = address;
-  record.term = term_ + 1;
+  record.term = term_;
   record.former_owners = former_owners_;
+  return record;
+}
+
+OwnerRecord Election::MakeClaimRecord(const std::string& address, Millis now) {
+  if (claim_offset_ != end_) claim_sent_ = now;
+  claim_offset_ = end_;
+  OwnerRecord record = MakeRecord(address);
+  ++record.term;
   if (owner_) {
     record.former_owners.push_back(
         {owner_->node, owner_->incarnation, owner_->address});
@@ -122,10 +133,8 @@
 }
 
 OwnerRecord Election::MakeRenewalRecord(const std::string& address) const {
-  OwnerRecord record = MakeClaimRecord(address);
+  OwnerRecord record = MakeRecord(address);
   record.token = token_;
-  record.term = term_;
-  record.former_owners = former_owners_;
   return record;
 }
 
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -84,12 +84,14 @@
   bool HasCompleteJournal() const {
     return handed_over_ && vacated_journal_complete_;
   }
-  /// The record that begins an ownership.
-  OwnerRecord MakeClaimRecord(const std::string& address) const;
+  /// Returns the record that begins an ownership. It has to be appended at
+  /// End(), and is sent at `now`.
+  OwnerRecord MakeClaimRecord(const std::string& address, Millis now);
   OwnerRecord MakeRenewalRecord(const std::string& address) const;
 
  private:
   bool IsMine(const OwnerRecord& record) const;
+  OwnerRecord MakeRecord(const std::string& address) const;
   void ScheduleCampaign(int owned, Millis now);
 
   ElectionSettings settings_;
@@ -109,6 +111,10 @@
   std::int64_t token_ = -1;
   std::int64_t term_ = 0;
   Millis last_renewal_sent_;  ///< Send time of the newest stored renewal.
+  /// Where the newest claim of this node can be stored, and when the first one
+  /// with this condition was sent.
+  std::int64_t claim_offset_ = -1;
+  Millis claim_sent_;
   std::int64_t abandoned_token_ = -1;  ///< Released without a record.
 };
 
--- a/tests/auto/cell/election_test.cc
+++ b/tests/auto/cell/election_test.cc
@@ -32,7 +32,7 @@
 TEST_CASE("the offset of its claim is an owner's token") {
   Election a = MakeElection("a");
   a.OnEnd(5, kNow);
-  a.OnRecord(a.MakeClaimRecord("a:1"), 5, kNow);
+  a.OnRecord(a.MakeClaimRecord("a:1", kNow), 5, kNow);
   CHECK(a.Owns());
   CHECK(a.Token() == 5);
   CHECK(a.Term() == 1);
@@ -46,7 +46,7 @@
   Election b = MakeElection("b");
   a.OnEnd(0, kNow);
   b.OnEnd(0, kNow);
-  const OwnerRecord first = a.MakeClaimRecord("a:1");
+  const OwnerRecord first = a.MakeClaimRecord("a:1", kNow);
   a.OnRecord(first, 0, kNow);
   b.OnRecord(first, 0, kNow);
   Millis at = kNow;
@@ -57,7 +57,7 @@
   }
   CHECK(!b.ShouldCampaign(0, at + kSettings.owner_timeout - Millis(1)));
   REQUIRE(Campaigns(b, at + kSettings.owner_timeout));
-  const OwnerRecord second = b.MakeClaimRecord("b:1");
+  const OwnerRecord second = b.MakeClaimRecord("b:1", kNow);
   b.OnRecord(second, 6, at);
   CHECK(b.Owns());
   CHECK(b.Term() == 2);
@@ -73,7 +73,7 @@
   Election b = MakeElection("b");
   a.OnEnd(0, kNow);
   b.OnEnd(0, kNow);
-  const OwnerRecord first = a.MakeClaimRecord("a:1");
+  const OwnerRecord first = a.MakeClaimRecord("a:1", kNow);
   a.OnRecord(first, 0, kNow);
   b.OnRecord(first, 0, kNow);
   OwnerRecord vacant = a.MakeRenewalRecord("a:1");
@@ -82,7 +82,7 @@
   b.OnRecord(vacant, 1, kNow);
   CHECK(!a.Owns());
   REQUIRE(Campaigns(b, kNow));
-  b.OnRecord(b.MakeClaimRecord("b:1"), 2, kNow);
+  b.OnRecord(b.MakeClaimRecord("b:1", kNow), 2, kNow);
   CHECK(b.WasHandedOver());
 }
 
@@ -91,14 +91,14 @@
   Election b = MakeElection("b");
   Election c = MakeElection("c");
   for (Election* election : {&a, &b, &c}) election->OnEnd(0, kNow);
-  const OwnerRecord first = a.MakeClaimRecord("a:1");
+  const OwnerRecord first = a.MakeClaimRecord("a:1", kNow);
   for (Election* election : {&b, &c}) election->OnRecord(first, 0, kNow);
-  const OwnerRecord second = b.MakeClaimRecord("b:1");
+  const OwnerRecord second = b.MakeClaimRecord("b:1", kNow);
   for (Election* election : {&b, &c}) election->OnRecord(second, 1, kNow);
   OwnerRecord vacant = b.MakeRenewalRecord("b:1");
   vacant.vacant = true;
   c.OnRecord(vacant, 2, kNow);
-  c.OnRecord(c.MakeClaimRecord("c:1"), 3, kNow);
+  c.OnRecord(c.MakeClaimRecord("c:1", kNow), 3, kNow);
   // "b" released the cell, but "a" has never confirmed that it stepped down.
   CHECK(!c.WasHandedOver());
   REQUIRE(c.FormerOwners().size() == 1);
@@ -110,7 +110,7 @@
 TEST_CASE("an owner is authoritative only shortly after a renewal") {
   Election a = MakeElection("a");
   a.OnEnd(0, kNow);
-  a.OnRecord(a.MakeClaimRecord("a:1"), 0, kNow);
+  a.OnRecord(a.MakeClaimRecord("a:1", kNow), 0, kNow);
   CHECK(a.IsAuthoritative(kNow + kSettings.authoritative_period - Millis(1)));
   CHECK(!a.IsAuthoritative(kNow + kSettings.authoritative_period));
   CHECK(kSettings.authoritative_period < kSettings.owner_timeout);
@@ -121,21 +121,21 @@
 TEST_CASE("an ownership does not resume after the owner has stepped down") {
   Election a = MakeElection("a");
   a.OnEnd(0, kNow);
-  const OwnerRecord first = a.MakeClaimRecord("a:1");
+  const OwnerRecord first = a.MakeClaimRecord("a:1", kNow);
   a.OnRecord(first, 0, kNow);
   a.StepDown();
   a.OnRecord(first, 0, kNow);
   CHECK(!a.Owns());
   // It may campaign again, under a new token.
   REQUIRE(Campaigns(a, kNow + kSettings.owner_timeout));
-  a.OnRecord(a.MakeClaimRecord("a:1"), 1, kNow);
+  a.OnRecord(a.MakeClaimRecord("a:1", kNow), 1, kNow);
   CHECK(a.Token() == 1);
 }
 
 TEST_CASE("an owner whose process has terminated is replaced at once") {
   Election b = MakeElection("b");
   b.OnEnd(0, kNow);
-  OwnerRecord record = MakeElection("a").MakeClaimRecord("a:1");
+  OwnerRecord record = MakeElection("a").MakeClaimRecord("a:1", kNow);
   b.OnRecord(record, 0, kNow);
   b.OnOwnerTerminated("another-process", kNow);
   CHECK(!b.ShouldCampaign(0, kNow));
@@ -147,7 +147,7 @@
   const bool journal_complete = GENERATE(false, true);
   Election a = MakeElection("a");
   a.OnEnd(0, kNow);
-  const OwnerRecord claim = a.MakeClaimRecord("a:1");
+  const OwnerRecord claim = a.MakeClaimRecord("a:1", kNow);
   a.OnRecord(claim, 0, kNow);
   OwnerRecord vacant = a.MakeRenewalRecord("a:1");
   vacant.vacant = true;
@@ -156,7 +156,7 @@
   b.OnRecord(claim, 0, kNow);
   b.OnRecord(vacant, 1, kNow);
   b.OnEnd(2, kNow);
-  b.OnRecord(b.MakeClaimRecord("b:1"), 2, kNow);
+  b.OnRecord(b.MakeClaimRecord("b:1", kNow), 2, kNow);
   REQUIRE(b.Owns());
   CHECK(b.WasHandedOver());
   CHECK(b.HasCompleteJournal() == journal_complete);
@@ -165,11 +165,11 @@
 TEST_CASE("the journal of an owner that timed out is not complete") {
   Election a = MakeElection("a");
   a.OnEnd(0, kNow);
-  const OwnerRecord claim = a.MakeClaimRecord("a:1");
+  const OwnerRecord claim = a.MakeClaimRecord("a:1", kNow);
   Election b = MakeElection("b");
   b.OnRecord(claim, 0, kNow);
   b.OnEnd(1, kNow);
-  b.OnRecord(b.MakeClaimRecord("b:1"), 1, kNow + Millis(5'000));
+  b.OnRecord(b.MakeClaimRecord("b:1", kNow), 1, kNow + Millis(5'000));
   REQUIRE(b.Owns());
   CHECK(!b.HasCompleteJournal());
 }
@@ -181,7 +181,7 @@
   Election c = MakeElection("c");
   a.OnEnd(0, kNow);
   c.OnEnd(0, kNow);
-  const OwnerRecord first = a.MakeClaimRecord("a:1");
+  const OwnerRecord first = a.MakeClaimRecord("a:1", kNow);
   a.OnRecord(first, 0, kNow);
   OwnerRecord vacant = a.MakeRenewalRecord("a:1");
   vacant.vacant = true;
@@ -190,14 +190,14 @@
   b.OnRecord(vacant, 1, kNow);
   b.OnEnd(2, kNow);
   // "c" reads the newest record before its watcher delivers the older ones.
-  c.OnRecord(b.MakeClaimRecord("b:1"), 2, kNow);
+  c.OnRecord(b.MakeClaimRecord("b:1", kNow), 2, kNow);
   c.OnRecord(first, 0, kNow);
   c.OnRecord(vacant, 1, kNow);
   REQUIRE(c.Owner());
   CHECK(c.Owner()->node == "b");
   CHECK(!c.ShouldCampaign(0, kNow));
   REQUIRE(Campaigns(c, kNow + kSettings.owner_timeout));
-  const OwnerRecord claim = c.MakeClaimRecord("c:1");
+  const OwnerRecord claim = c.MakeClaimRecord("c:1", kNow);
   REQUIRE(claim.former_owners.size() == 1);
   CHECK(claim.former_owners[0].node == "b");
   c.OnRecord(claim, 3, kNow + kSettings.owner_timeout);
@@ -205,3 +205,27 @@
   CHECK(!c.WasHandedOver());
   CHECK(!c.HasCompleteJournal());
 }
+
+TEST_CASE("an ownership counts from when its claim was sent") {
+  Election a = MakeElection("a");
+  a.OnEnd(0, kNow);
+  const OwnerRecord claim = a.MakeClaimRecord("a:1", kNow);
+  // The entry was frozen before it read the store's answer.
+  const Millis read_at = kNow + kSettings.owner_timeout;
+  a.OnRecord(claim, 0, read_at);
+  REQUIRE(a.Owns());
+  CHECK(!a.IsAuthoritative(read_at));
+  CHECK(!a.IsExpired(kNow + kSettings.expiry));
+  CHECK(a.IsExpired(kNow + kSettings.expiry + Millis(1)));
+}
+
+TEST_CASE("a claim that was sent twice counts from when it was first sent") {
+  Election a = MakeElection("a");
+  a.OnEnd(0, kNow);
+  a.MakeClaimRecord("a:1", kNow);
+  const Millis sent_again = kNow + Millis(1'300);
+  // The store carries out the first one late.
+  a.OnRecord(a.MakeClaimRecord("a:1", sent_again), 0, sent_again);
+  REQUIRE(a.Owns());
+  CHECK(!a.IsAuthoritative(kNow + kSettings.authoritative_period));
+}
