Let a request to step down end ownerships not yet known

Cause: an entry whose claim was stored, but which had not read it yet (the answer was lost, its watcher was cut), confirmed a successor's request to step down without any effect. The successor then took all inherited leases to be over 5.25 s later, and the entry could read its claim afterwards, and act on it until a record of the successor reached it.

Fix: the request abandons every token below the one that it names. Tokens are offsets, so a later ownership of the entry has a higher one.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -143,13 +143,14 @@
 }
 
 void CellMember::OnStepDownRequest(std::int64_t token) {
-  if (!election_.Owns() || election_.Token() >= token) return;
-  kLog.Info(
-      "event=step_down_requested reason=\"a peer owns the cell under a later "
-      "token; ending this ownership\" cell=" +
-      std::to_string(cell_) + " token=" + std::to_string(token));
-  StopOwner();
-  election_.StepDown();
+  if (election_.Owns() && election_.Token() < token) {
+    kLog.Info(
+        "event=step_down_requested reason=\"a peer owns the cell under a later "
+        "token; ending this ownership\" cell=" +
+        std::to_string(cell_) + " token=" + std::to_string(token));
+    StopOwner();
+  }
+  election_.StepDownBefore(token);
 }
 
 void CellMember::StopOwner() {
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -58,7 +58,8 @@
   const std::optional<OwnerRecord>& KnownOwner() const {
     return election_.Owner();
   }
-  /// A peer owns the cell under `token`. Ends an older ownership of this node.
+  /// A peer owns the cell under `token`. Ends an older ownership of this node,
+  /// and prevents one that this node does not know of yet.
   void OnStepDownRequest(std::int64_t token);
   /// The owner's process with this incarnation has terminated.
   void OnOwnerTerminated(const std::string& incarnation);
--- a/src/libs/cell/election.cc
+++ b/src/libs/cell/election.cc
@@ -74,6 +74,11 @@
   token_ = -1;
 }
 
+void Election::StepDownBefore(std::int64_t token) {
+  abandoned_token_ = std::max(abandoned_token_, token - 1);
+  if (token_ < token) token_ = -1;
+}
+
 void Election::ScheduleCampaign(int owned, Millis now) {
   const auto jitter =
       static_cast<std::uint64_t>(settings_.campaign_jitter.count);
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -52,6 +52,10 @@
   void OnRenewed(std::int64_t offset, Millis sent, Millis now);
   /// Releases the cell at once, without a record.
   void StepDown();
+  /// Releases the cell at once if this node owns it under a lower token than
+  /// `token`, and begins no such ownership any more: a claim may have been
+  /// stored without this node's knowledge.
+  void StepDownBefore(std::int64_t token);
 
   /// Returns whether the node should append a claim now. `owned` is the number
   /// of cells that it owns.
--- a/tests/auto/cell/cell_member_test.cc
+++ b/tests/auto/cell/cell_member_test.cc
@@ -62,3 +62,28 @@
   CHECK(fixture.NewestRecord().node == "b");
   CHECK(!fixture.NewestRecord().vacant);
 }
+
+TEST_CASE(
+    "a claim that is read after a request to step down begins no ownership") {
+  CellMemberFixture fixture;
+  fixture.store.watchers_cut = true;
+  fixture.store.newest_unreadable = true;
+  // The claim is stored, but its answer is lost.
+  fixture.store.on_append_at = [&](const Partition& partition, std::int64_t end,
+                                   const std::vector<KeyedRecord>& records) {
+    fixture.store.on_append_at = nullptr;
+    fixture.store.Append(partition, end, records);
+    return AppendAnswer();
+  };
+  for (int i = 0; i < 20 && fixture.store.on_append_at; ++i) {
+    fixture.TickFor(kTick);
+  }
+  REQUIRE(fixture.NewestRecord().node == "a");
+  fixture.member->OnStepDownRequest(/*token=*/1);
+  fixture.store.watchers_cut = false;
+  fixture.store.Append(fixture.partition, 1, {{"tails", {}, 0}});
+  fixture.Pump();
+  REQUIRE(fixture.member->KnownOwner());
+  CHECK(!fixture.member->Owns());
+  CHECK(fixture.ownerships.empty());
+}
--- a/tests/auto/cell/election_test.cc
+++ b/tests/auto/cell/election_test.cc
@@ -229,3 +229,22 @@
   REQUIRE(a.Owns());
   CHECK(!a.IsAuthoritative(kNow + kSettings.authoritative_period));
 }
+
+TEST_CASE(
+    "an entry that was asked to step down does not act on an older claim") {
+  Election a = MakeElection("a");
+  a.OnEnd(0, kNow);
+  const OwnerRecord claim = a.MakeClaimRecord("a:1", kNow);
+  // The store carries the claim out, and "b" replaces "a" under the token 1.
+  a.StepDownBefore(1);
+  a.OnRecord(claim, 0, kNow);
+  CHECK(!a.Owns());
+}
+
+TEST_CASE("a request to step down does not end a later ownership") {
+  Election a = MakeElection("a");
+  a.OnEnd(1, kNow);
+  a.OnRecord(a.MakeClaimRecord("a:1", kNow), 1, kNow);
+  a.StepDownBefore(1);
+  CHECK(a.Owns());
+}
