Deny jobs only after a stored renewal

Cause: when an append was not confirmed, the entry reads the partition again, and if it still owned the cell, that counted as a renewal. For the expiry that is right: no other had claimed by then. But others claim 2.2 s after the newest record, and this adds none. So an entry whose appends the store refused or carried out late, while it served its reads, kept denying unknown jobs for 1.5 s after each such read, when a successor may have accepted them.

Fix: a read that shows the ownership confirms it (expiry, time of the next renewal); only a stored renewal makes the owner authoritative.

Before the fix: an owner whose renewals are not stored does not deny jobs CHECK( fixture.AskFor("unknown") == ReplyKind::kNotOwner ) 7 == 13 (7: kNoSuchJob)

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -251,9 +251,7 @@
   election_.OnEnd(ValueOf(read).end, now);
   // The newest record belongs to this ownership, so no other node had claimed
   // the cell by `sent`.
-  if (election_.Owns()) {
-    election_.OnRenewed(election_.End() - 1, sent, now);
-  }
+  if (election_.Owns()) election_.OnConfirmed(sent);
 }
 
 void CellMember::OnOwnerTerminated(const std::string& incarnation) {
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -82,7 +82,7 @@
                                                std::int64_t expected_end);
   /// Reads the partition again after an append that was sent at `sent` and was
   /// not confirmed. If this node still owns the cell, the ownership counts as
-  /// renewed at `sent`.
+  /// confirmed at `sent`, but not as renewed.
   net::asio::awaitable<void> RereadPartition(Millis sent);
   void StopOwner();
   /// Asks a former owner to step down until it confirms or `token` has ended.
--- a/src/libs/cell/election.cc
+++ b/src/libs/cell/election.cc
@@ -47,7 +47,7 @@
   }
   // Other nodes count from when the claim was stored, and it may have been
   // stored as soon as it was sent.
-  if (token_ != token) last_renewal_sent_ = claim_sent_;
+  if (token_ != token) last_renewal_sent_ = last_confirmed_ = claim_sent_;
   token_ = token;
   return true;
 }
@@ -66,9 +66,14 @@
 void Election::OnRenewed(std::int64_t offset, Millis sent, Millis now) {
   end_ = std::max(end_, offset + 1);
   last_renewal_sent_ = std::max(last_renewal_sent_, sent);
+  OnConfirmed(sent);
   owner_last_seen_ = now;
 }
 
+void Election::OnConfirmed(Millis sent) {
+  last_confirmed_ = std::max(last_confirmed_, sent);
+}
+
 void Election::StepDown() {
   abandoned_token_ = std::max(abandoned_token_, token_);
   token_ = -1;
@@ -100,7 +105,7 @@
 }
 
 bool Election::ShouldRenew(Millis now) const {
-  return Owns() && now - last_renewal_sent_ >= settings_.renewal_interval;
+  return Owns() && now - last_confirmed_ >= settings_.renewal_interval;
 }
 
 bool Election::IsAuthoritative(Millis now) const {
@@ -108,7 +113,7 @@
 }
 
 bool Election::IsExpired(Millis now) const {
-  return Owns() && now - last_renewal_sent_ > settings_.expiry;
+  return Owns() && now - last_confirmed_ > settings_.expiry;
 }
 
 void Election::OnFormerOwnerStopped(const FormerOwner& owner) {
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -50,6 +50,8 @@
   /// The renewal that was sent at `sent` is stored, and the partition's last
   /// record is at `offset`.
   void OnRenewed(std::int64_t offset, Millis sent, Millis now);
+  /// The partition was read after `sent`, and this node still owned the cell.
+  void OnConfirmed(Millis sent);
   /// Releases the cell at once, without a record.
   void StepDown();
   /// Releases the cell at once if this node owns it under a lower token than
@@ -64,8 +66,8 @@
   bool ShouldRenew(Millis now) const;
 
   bool Owns() const { return token_ >= 0; }
-  /// Returns whether this node owns the cell and renewed so recently that no
-  /// other node can have been serving it for long.
+  /// Returns whether this node owns the cell and its newest renewal was sent so
+  /// recently that no other node can have replaced it.
   bool IsAuthoritative(Millis now) const;
   /// Returns whether this node owns the cell but has not renewed for too long.
   bool IsExpired(Millis now) const;
@@ -115,6 +117,7 @@
   std::int64_t token_ = -1;
   std::int64_t term_ = 0;
   Millis last_renewal_sent_;  ///< Send time of the newest stored renewal.
+  Millis last_confirmed_;     ///< No other node had claimed the cell before.
   /// Where the newest claim of this node can be stored, and when the first one
   /// with this condition was sent.
   std::int64_t claim_offset_ = -1;
--- a/tests/auto/cell/cell_member_fixture.cc
+++ b/tests/auto/cell/cell_member_fixture.cc
@@ -79,6 +79,20 @@
   for (int i = 0; i < 100 && !member->Owns(); ++i) TickFor(kTick);
 }
 
+ReplyKind CellMemberFixture::AskFor(const std::string& job) {
+  JobRequest request;
+  request.job = job;
+  ReplyKind kind = ReplyKind::kUnavailable;
+  net::asio::co_spawn(
+      context,
+      [&]() -> net::asio::awaitable<void> {
+        kind = (co_await member->Owner()->Handle(request)).kind;
+      },
+      net::asio::detached);
+  Pump();
+  return kind;
+}
+
 OwnerRecord CellMemberFixture::MakeRecord(const std::string& node) {
   OwnerRecord record;
   record.node = node;
--- a/tests/auto/cell/cell_member_fixture.h
+++ b/tests/auto/cell/cell_member_fixture.h
@@ -42,6 +42,9 @@
   void TickFor(Millis duration);
   /// Advances the clock, ticking, until the member owns the cell.
   void BecomeOwner();
+  /// Returns how the owner answers a request for the state of a job.
+  /// Precondition: the member owns the cell.
+  ReplyKind AskFor(const std::string& job);
   /// Appends a claim of the entry `node` at the end of the partition. Returns
   /// its token.
   std::int64_t AppendClaimOf(const std::string& node,
--- a/tests/auto/cell/cell_member_test.cc
+++ b/tests/auto/cell/cell_member_test.cc
@@ -87,3 +87,16 @@
   CHECK(!fixture.member->Owns());
   CHECK(fixture.ownerships.empty());
 }
+
+TEST_CASE("an owner whose renewals are not stored does not deny jobs") {
+  CellMemberFixture fixture;
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.PumpFor(Millis(30));
+  REQUIRE(fixture.AskFor("unknown") == ReplyKind::kNoSuchJob);
+  // The store answers reads only, so others count from the newest record.
+  fixture.store.on_append_at = [](auto&&...) { return AppendAnswer(); };
+  fixture.TickFor(kSettings.owner_timeout);
+  REQUIRE(fixture.member->Owns());
+  CHECK(fixture.AskFor("unknown") == ReplyKind::kNotOwner);
+}
