--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -53,10 +53,13 @@
                " error=\"" + ErrorOf(decoded).ToString() + "\"");
     return;
   }
-  UpdateUnreachableVms(ValueOf(decoded));
   const std::string before =
       election_.Owner() ? election_.Owner()->incarnation : "";
-  election_.OnRecord(ValueOf(decoded), record.offset, clock_.Monotonic());
+  if (!election_.OnRecord(ValueOf(decoded), record.offset,
+                          clock_.Monotonic())) {
+    return;
+  }
+  UpdateUnreachableVms(ValueOf(decoded));
   const auto& owner = election_.Owner();
   if (owner && owner->incarnation != before) {
     kLog.Info("event=owner_changed cell=" + std::to_string(cell_) + " node=" +
@@ -140,13 +143,14 @@
 }
 
 void CellMember::OnStepDownRequest(std::int64_t token) {
-  if (!election_.Owns() || election_.Token() >= token) return;
-  kLog.Info(
-      "event=step_down_requested reason=\"a peer owns the cell under a later "
-      "token; ending this ownership\" cell=" +
-      std::to_string(cell_) + " token=" + std::to_string(token));
-  StopOwner();
-  election_.StepDown();
+  if (election_.Owns() && election_.Token() < token) {
+    kLog.Info(
+        "event=step_down_requested reason=\"a peer owns the cell under a later "
+        "token; ending this ownership\" cell=" +
+        std::to_string(cell_) + " token=" + std::to_string(token));
+    StopOwner();
+  }
+  election_.StepDownBefore(token);
 }
 
 void CellMember::StopOwner() {
@@ -173,22 +177,25 @@
   // together and are assigned by the published loads.
   const bool load_unpublished = owner_ && owner_->IsReady() && !load_published_;
   if (election_.ShouldRenew(now) || load_unpublished) {
-    net::asio::co_spawn(
-        context_,
-        AppendOwnerRecord(election_.MakeRenewalRecord(identity_.peer_address)),
-        net::asio::detached);
+    StartAppend(election_.MakeRenewalRecord(identity_.peer_address));
   } else if (now >= no_campaign_before_ &&
              election_.ShouldCampaign(owned, now)) {
-    net::asio::co_spawn(
-        context_,
-        AppendOwnerRecord(election_.MakeClaimRecord(identity_.peer_address)),
-        net::asio::detached);
+    StartAppend(election_.MakeClaimRecord(identity_.peer_address, now));
   }
 }
 
-net::asio::awaitable<void> CellMember::AppendOwnerRecord(OwnerRecord record) {
-  const auto self = shared_from_this();
+void CellMember::StartAppend(OwnerRecord record) {
   appending_ = true;
+  // The coroutine starts later. Records that are read until then are not
+  // considered in `record`, so it must not be appended after them.
+  net::asio::co_spawn(context_,
+                      AppendOwnerRecord(std::move(record), election_.End()),
+                      net::asio::detached);
+}
+
+net::asio::awaitable<void> CellMember::AppendOwnerRecord(
+    OwnerRecord record, std::int64_t expected_end) {
+  const auto self = shared_from_this();
   const Millis sent = clock_.Monotonic();
   const bool renewal = record.token >= 0;
   std::vector<jobs::UnreachableVm> unreachable_vms;
@@ -213,20 +220,15 @@
   }
   const auto count = static_cast<std::int64_t>(records.size());
   const AppendAnswer answer =
-      co_await store_.AppendAt(partition_, election_.End(), std::move(records));
+      co_await store_.AppendAt(partition_, expected_end, std::move(records));
   const Millis now = clock_.Monotonic();
   switch (answer.outcome) {
     case AppendOutcome::kAppended:
-      if (renewal) {
-        if (election_.Token() == record.token) {
-          election_.OnRenewed(answer.offset + count - 1, sent, now);
-          callbacks_.on_load(record.load);
-          UpdateUnreachableVms(record);
-          load_published_ = load_published_ || publishes_load;
-          if (owner) owner->OnUnreachableVmsRecorded(unreachable_vms);
-        }
-      } else {
-        OnRecord({kOwnerKey, written.value, answer.offset});
+      OnRecord({kOwnerKey, written.value, answer.offset});
+      if (renewal && election_.Token() == record.token) {
+        election_.OnRenewed(answer.offset + count - 1, sent, now);
+        load_published_ = load_published_ || publishes_load;
+        if (owner) owner->OnUnreachableVmsRecorded(unreachable_vms);
       }
       break;
     case AppendOutcome::kConflict:
@@ -249,9 +251,7 @@
   election_.OnEnd(ValueOf(read).end, now);
   // The newest record belongs to this ownership, so no other node had claimed
   // the cell by `sent`.
-  if (election_.Owns()) {
-    election_.OnRenewed(election_.End() - 1, sent, now);
-  }
+  if (election_.Owns()) election_.OnConfirmed(sent);
 }
 
 void CellMember::OnOwnerTerminated(const std::string& incarnation) {
@@ -295,9 +295,10 @@
     const AppendAnswer answer = co_await store_.AppendAt(
         partition_, election_.End(), std::move(records));
     if (answer.outcome == AppendOutcome::kAppended) break;
+    co_await net::Sleep(kVacateRetryInterval);
     co_await RereadPartition(clock_.Monotonic());
+    // The next attempt must not follow a claim that was read in the meantime.
     if (election_.Token() != record.token) break;
-    co_await net::Sleep(kVacateRetryInterval);
   }
   election_.StepDown();
 }
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -39,17 +39,25 @@
   Election(ElectionSettings settings, std::string node, std::string incarnation,
            std::uint64_t seed);
 
-  /// The record at `offset` of the cell's partition was read.
-  void OnRecord(const OwnerRecord& record, std::int64_t offset, Millis now);
+  /// The record at `offset` of the cell's partition was read. Returns false,
+  /// and does nothing, if this record or a later one was read before.
+  bool OnRecord(const OwnerRecord& record, std::int64_t offset, Millis now);
   /// All records before `end` have been read.
   void OnEnd(std::int64_t end, Millis now);
   /// The owner's process with this incarnation has terminated: its address
   /// refuses connections or belongs to another process.
   void OnOwnerTerminated(const std::string& incarnation, Millis now);
-  /// The renewal that was sent at `sent` is stored at `offset`.
+  /// The renewal that was sent at `sent` is stored, and the partition's last
+  /// record is at `offset`.
   void OnRenewed(std::int64_t offset, Millis sent, Millis now);
+  /// The partition was read after `sent`, and this node still owned the cell.
+  void OnConfirmed(Millis sent);
   /// Releases the cell at once, without a record.
   void StepDown();
+  /// Releases the cell at once if this node owns it under a lower token than
+  /// `token`, and begins no such ownership any more: a claim may have been
+  /// stored without this node's knowledge.
+  void StepDownBefore(std::int64_t token);
 
   /// Returns whether the node should append a claim now. `owned` is the number
   /// of cells that it owns.
@@ -58,8 +66,8 @@
   bool ShouldRenew(Millis now) const;
 
   bool Owns() const { return token_ >= 0; }
-  /// Returns whether this node owns the cell and renewed so recently that no
-  /// other node can have been serving it for long.
+  /// Returns whether this node owns the cell and its newest renewal was sent so
+  /// recently that no other node can have replaced it.
   bool IsAuthoritative(Millis now) const;
   /// Returns whether this node owns the cell but has not renewed for too long.
   bool IsExpired(Millis now) const;
@@ -82,12 +90,14 @@
   bool HasCompleteJournal() const {
     return handed_over_ && vacated_journal_complete_;
   }
-  /// The record that begins an ownership.
-  OwnerRecord MakeClaimRecord(const std::string& address) const;
+  /// Returns the record that begins an ownership. It has to be appended at
+  /// End(), and is sent at `now`.
+  OwnerRecord MakeClaimRecord(const std::string& address, Millis now);
   OwnerRecord MakeRenewalRecord(const std::string& address) const;
 
  private:
   bool IsMine(const OwnerRecord& record) const;
+  OwnerRecord MakeRecord(const std::string& address) const;
   void ScheduleCampaign(int owned, Millis now);
 
   ElectionSettings settings_;
@@ -101,11 +111,17 @@
   bool vacated_journal_complete_ = true;
   bool caught_up_ = false;  ///< The partition was read to its end once.
   std::int64_t end_ = 0;
-  Millis owner_last_seen_;  ///< Start of the owner's time-out.
+  std::int64_t newest_offset_ = -1;  ///< Of the newest owner record read.
+  Millis owner_last_seen_;           ///< Start of the owner's time-out.
   std::optional<Millis> campaign_at_;
   std::int64_t token_ = -1;
   std::int64_t term_ = 0;
   Millis last_renewal_sent_;  ///< Send time of the newest stored renewal.
+  Millis last_confirmed_;     ///< No other node had claimed the cell before.
+  /// Where the newest claim of this node can be stored, and when the first one
+  /// with this condition was sent.
+  std::int64_t claim_offset_ = -1;
+  Millis claim_sent_;
   std::int64_t abandoned_token_ = -1;  ///< Released without a record.
 };
 
