Let tests replace the time of the cell's timers

The nodes' coroutines wait with steady timers, so a test of several nodes had to run in real time. net::Timer waits on the steady clock unless a test has installed a simulation. No change of behaviour without one.

--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -1,7 +1,6 @@
 #include "cell/cell_owner.h"
 
 #include <algorithm>
-#include <chrono>
 #include <map>
 #include <utility>
 
@@ -158,9 +157,8 @@
   // A scheduling pass covers all waiting tasks, so events that arrive before it
   // share one pass.
   const Millis due = last_plan_ + settings_.min_plan_interval - Now();
-  plan_timer_.expires_after(
-      std::chrono::milliseconds(std::max(due.count, std::int64_t{0})));
-  plan_timer_.async_wait([self = shared_from_this()](const net::error_code&) {
+  plan_timer_.ExpireAfter(std::max(due, Millis(0)));
+  plan_timer_.AsyncWait([self = shared_from_this()](const net::error_code&) {
     self->plan_scheduled_ = false;
     self->last_plan_ = self->Now();
     self->RunPlan();
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -15,6 +15,7 @@
 #include "cell/store.h"
 #include "cell/vm_client.h"
 #include "jobs/scheduler.h"
+#include "net/timer.h"
 
 namespace basilspur::cell {
 
@@ -173,7 +174,7 @@
   std::set<std::string> renewing_vms_;    ///< VMs with a running renewal loop.
   Millis last_summary_log_;
   Millis last_plan_;
-  net::asio::steady_timer plan_timer_;
+  net::Timer plan_timer_;
   Millis last_moved_job_check_;
   bool predecessors_stopped_ = false;
   bool plan_scheduled_ = false;
--- a/src/libs/cell/signal.h
+++ b/src/libs/cell/signal.h
@@ -1,10 +1,8 @@
 #ifndef BASILSPUR_CELL_SIGNAL_H_
 #define BASILSPUR_CELL_SIGNAL_H_
 
-#include <chrono>
-
-#include "base/clock.h"
 #include "net/asio.h"
+#include "net/timer.h"
 
 namespace basilspur::cell {
 
@@ -15,20 +13,20 @@
 class Signal {
  public:
   explicit Signal(net::asio::io_context& context) : timer_(context) {
-    timer_.expires_at(std::chrono::steady_clock::time_point::max());
+    timer_.ExpireNever();
   }
 
-  void NotifyAll() { timer_.cancel(); }
+  void NotifyAll() { timer_.Cancel(); }
 
   /// Completes at the next NotifyAll().
   net::asio::awaitable<void> Wait() {
     net::error_code ignored;
-    co_await timer_.async_wait(
+    co_await timer_.AsyncWait(
         net::asio::redirect_error(net::asio::use_awaitable, ignored));
   }
 
  private:
-  net::asio::steady_timer timer_;
+  net::Timer timer_;
 };
 
 }  // namespace basilspur::cell
