Simulate a cell with faults in simulated time

Several nodes' CellMembers, a store, VMs and callers in one process, each seed with its own faults of nodes, links and VMs. What VMs and callers see is checked against the promises (TWICE, LOST, ORDER, LIMIT, MIXED).

--- /dev/null
+++ b/tests/sim/cell_faults.cc
@@ -0,0 +1,200 @@
+#include "sim/cell_faults.h"
+
+namespace basilspur::sim {
+
+static constexpr Millis kListingDelay(2'000);
+static constexpr double kKindOccurs = 0.4;
+static constexpr double kOwnerIsPicked = 0.7;
+static constexpr std::size_t kMinVms = 4;
+static constexpr int kMaxVms = 10;
+
+CellFaults::CellFaults(SimulatedCell& cell) : cell_(cell) {
+  for (int kind = 0; kind < kKinds; ++kind) {
+    if (Chance(kKindOccurs)) kinds_.push_back(static_cast<Kind>(kind));
+  }
+  if (kinds_.empty()) kinds_.push_back(Kind::kKill);
+}
+
+Millis CellFaults::Between(int min_ms, int max_ms) {
+  return Millis(min_ms + static_cast<std::int64_t>(cell_.Randomness().Below(
+                             static_cast<std::uint64_t>(max_ms - min_ms))));
+}
+
+bool CellFaults::Chance(double probability) {
+  return cell_.Randomness().Chance(probability);
+}
+
+int CellFaults::PickNode() {
+  const int owner = cell_.Owner();
+  if (owner >= 0 && Chance(kOwnerIsPicked)) return owner;
+  return static_cast<int>(
+      cell_.Randomness().Below(static_cast<std::uint64_t>(cell_.NodeCount())));
+}
+
+std::string CellFaults::PickVm() {
+  const std::vector<std::string> vms = cell_.Vms();
+  if (vms.size() < kMinVms) return "";
+  return vms[cell_.Randomness().Below(vms.size())];
+}
+
+void CellFaults::Start(Millis duration) { cell_.Spawn(Run(duration)); }
+
+net::asio::awaitable<void> CellFaults::Run(Millis duration) {
+  Millis left = duration;
+  while (left > Millis(0)) {
+    const Millis pause = Between(100, 4'000);
+    left = left - pause;
+    co_await net::Sleep(pause);
+    if (ended_) co_return;
+    const Kind kind = kinds_[cell_.Randomness().Below(kinds_.size())];
+    cell_.Spawn(Cause(kind));
+  }
+}
+
+net::asio::awaitable<void> CellFaults::Cause(Kind kind) {
+  const int node = PickNode();
+  switch (kind) {
+    case Kind::kKill:
+      cell_.KillNode(node);
+      co_return co_await RestartNode(node, Between(200, 4'000));
+    case Kind::kTerminate:
+      cell_.TerminateNode(node, Millis(3'000));
+      co_return co_await RestartNode(node, Between(3'100, 5'000));
+    case Kind::kFreeze:
+      co_return co_await Freeze(node, Between(300, 20'000));
+    case Kind::kStoreRefused:
+      co_return co_await LimitStore(std::vector<int>(1, node),
+                                    StoreAccess::kRefused,
+                                    Between(500, 16'000));
+    case Kind::kStoreSilent:
+      co_return co_await LimitStore(std::vector<int>(1, node),
+                                    StoreAccess::kSilent, Between(500, 16'000));
+    case Kind::kStoreLossy:
+      co_return co_await LimitStore(std::vector<int>(1, node),
+                                    StoreAccess::kLosesCalls,
+                                    Between(500, 8'000));
+    case Kind::kStoreDown: {
+      std::vector<int> all;
+      for (int each = 0; each < cell_.NodeCount(); ++each) all.push_back(each);
+      co_return co_await LimitStore(
+          all, Chance(0.5) ? StoreAccess::kRefused : StoreAccess::kSilent,
+          Between(500, 8'000));
+    }
+    case Kind::kPeersCut:
+      co_return co_await CutPeers(node, Between(1'000, 15'000));
+    case Kind::kVmsCut:
+      co_return co_await CutVms(node, false, Between(500, 15'000));
+    case Kind::kVmsLossy:
+      co_return co_await CutVms(node, true, Between(500, 10'000));
+    case Kind::kVmCrash: {
+      const std::string vm = PickVm();
+      if (!vm.empty()) Crash(vm);
+      co_return;
+    }
+    case Kind::kVmAdded:
+      co_return co_await AddVm(false);
+    case Kind::kMuteVmAdded:
+      co_return co_await AddVm(true);
+    case Kind::kVmUnlisted:
+      co_return co_await UnlistForAWhile(PickVm(), Chance(0.5));
+    case Kind::kVmReclaimed: {
+      const std::string vm = PickVm();
+      if (vm.empty()) co_return;
+      cell_.TerminateVm(vm);
+      cell_.UnlistVm(vm, kListingDelay);
+      co_return;
+    }
+    case Kind::kHistoryExpired:
+      cell_.Store().ExpireHistory();
+      co_return;
+  }
+}
+
+net::asio::awaitable<void> CellFaults::RestartNode(int node, Millis delay) {
+  co_await net::Sleep(delay);
+  if (!cell_.IsAlive(node)) cell_.StartNode(node);
+}
+
+net::asio::awaitable<void> CellFaults::Freeze(int node, Millis duration) {
+  cell_.SetFrozen(node, true);
+  co_await net::Sleep(duration);
+  cell_.SetFrozen(node, false);
+}
+
+net::asio::awaitable<void> CellFaults::LimitStore(std::vector<int> nodes,
+                                                  StoreAccess access,
+                                                  Millis duration) {
+  for (const int node : nodes) {
+    cell_.Events().Add("store access of node" + std::to_string(node) + " " +
+                       std::to_string(static_cast<int>(access)));
+    cell_.Faults(node).store = access;
+  }
+  co_await net::Sleep(duration);
+  for (const int node : nodes) {
+    cell_.Events().Add("store access of node" + std::to_string(node) +
+                       " normal");
+    cell_.Faults(node).store = StoreAccess::kNormal;
+  }
+}
+
+net::asio::awaitable<void> CellFaults::CutPeers(int node, Millis duration) {
+  cell_.Events().Add("peers of node" + std::to_string(node) + " cut");
+  cell_.Faults(node).peers_cut = true;
+  co_await net::Sleep(duration);
+  cell_.Faults(node).peers_cut = false;
+}
+
+net::asio::awaitable<void> CellFaults::CutVms(int node, bool lossy,
+                                              Millis duration) {
+  std::set<std::string> harmed;
+  for (const std::string& vm : cell_.Vms()) {
+    if (!Chance(0.5)) continue;
+    harmed.insert(vm);
+    cell_.Events().Add("node" + std::to_string(node) +
+                       (lossy ? " loses calls to vm=" : " cut from vm=") + vm);
+  }
+  LinkFaults& faults = cell_.Faults(node);
+  (lossy ? faults.lossy_vms : faults.cut_vms).merge(std::set(harmed));
+  co_await net::Sleep(duration);
+  cell_.Events().Add("node" + std::to_string(node) + " reaches its VMs");
+  for (const std::string& vm : harmed)
+    (lossy ? faults.lossy_vms : faults.cut_vms).erase(vm);
+}
+
+void CellFaults::Crash(const std::string& vm) {
+  const std::string machine = vm.substr(0, vm.find('-'));
+  const std::string next = cell_.StartVm(machine);
+  cell_.ListVm(next, kListingDelay);
+  cell_.UnlistVm(vm, kListingDelay);
+}
+
+net::asio::awaitable<void> CellFaults::AddVm(bool mute) {
+  if (added_vms_ >= kMaxVms) co_return;
+  const std::string vm = cell_.StartVm("added" + std::to_string(++added_vms_));
+  if (mute) {
+    cell_.TerminateVm(vm);
+    cell_.Events().Add("vm=" + vm + " never answers");
+  }
+  cell_.ListVm(vm, kListingDelay);
+}
+
+net::asio::awaitable<void> CellFaults::UnlistForAWhile(std::string vm,
+                                                       bool again) {
+  if (vm.empty()) co_return;
+  cell_.UnlistVm(vm, kListingDelay);
+  if (!again) co_return;
+  co_await net::Sleep(Between(500, 10'000));
+  cell_.ListVm(vm, kListingDelay);
+}
+
+void CellFaults::EndAll() {
+  ended_ = true;
+  cell_.Events().Add("all faults end");
+  for (int node = 0; node < cell_.NodeCount(); ++node) {
+    cell_.Faults(node) = {};
+    cell_.SetFrozen(node, false);
+    if (!cell_.IsAlive(node)) cell_.StartNode(node);
+  }
+}
+
+}  // namespace basilspur::sim
--- /dev/null
+++ b/tests/sim/cell_simulation_test.cc
@@ -0,0 +1,98 @@
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "sim/cell_faults.h"
+#include "sim/simulated_cell.h"
+
+using namespace basilspur;       // NOLINT(google-build-using-namespace)
+using namespace basilspur::sim;  // NOLINT(google-build-using-namespace)
+
+static constexpr int kNodes = 4;
+static constexpr int kVms = 6;
+static constexpr Millis kFaultTime(25'000);
+static constexpr Millis kCalm(20'000);
+static constexpr Millis kNoDelay(0);
+static constexpr Millis kFirstOwnerTimeout(10'000);
+
+static std::uint64_t FromEnvironment(const char* name, std::uint64_t other) {
+  const char* text = std::getenv(name);
+  return text ? std::strtoull(text, nullptr, 10) : other;
+}
+
+static jobs::JobSpec MakeRandomJob(Random& random, bool long_running) {
+  jobs::JobSpec spec;
+  spec.payload = long_running ? "0" : std::to_string(100 + random.Below(2'500));
+  const int steps = long_running ? 1 : 1 + static_cast<int>(random.Below(3));
+  for (int step = 0; step < steps; ++step) {
+    jobs::StepSpec& made = spec.steps.emplace_back();
+    made.count = 1 + static_cast<int>(random.Below(long_running ? 2 : 4));
+    made.need = {500 + static_cast<std::int64_t>(random.Below(2'000)), 500, 0};
+    made.long_running = long_running;
+    if (step > 0 && random.Chance(0.7)) made.dependencies = {step - 1};
+  }
+  return spec;
+}
+
+static net::asio::awaitable<void> SubmitJobs(SimulatedCell& cell,
+                                             Millis duration) {
+  Millis left = duration;
+  for (int job = 0; left > Millis(0); ++job) {
+    const Millis pause(
+        100 + static_cast<std::int64_t>(cell.Randomness().Below(1'400)));
+    left = left - pause;
+    co_await net::Sleep(pause);
+    cell.Submit(
+        "job" + std::to_string(job),
+        MakeRandomJob(cell.Randomness(), cell.Randomness().Chance(0.1)));
+    const std::set<std::string>& accepted = cell.Checker().Accepted();
+    for (const std::string& asked : accepted) {
+      if (cell.Randomness().Chance(0.2)) cell.AskState(asked);
+    }
+  }
+}
+
+static void StartVms(SimulatedCell& cell) {
+  for (int vm = 0; vm < kVms; ++vm) {
+    const int clock_percent = 98 + static_cast<int>(cell.Randomness().Below(3));
+    cell.ListVm(cell.StartVm("vm" + std::to_string(vm), clock_percent),
+                kNoDelay);
+  }
+}
+
+static bool KeepsPromises(std::uint64_t seed, bool with_faults) {
+  SimulatedCell cell(seed, kNodes);
+  CellFaults faults(cell);
+  StartVms(cell);
+  cell.RunUntil([&] { return cell.IsOwnerReady(); }, kFirstOwnerTimeout);
+  cell.Spawn(SubmitJobs(cell, kFaultTime));
+  if (with_faults) faults.Start(kFaultTime);
+  cell.RunFor(kFaultTime);
+  faults.EndAll();
+  cell.RunFor(kCalm);
+  cell.CheckAfterCalm();
+  const bool traced = FromEnvironment("BASILSPUR_TRACE", 0) > 0;
+  if (cell.Checker().Violations().empty() && !traced) return true;
+  std::cout << "seed " << seed << "\n";
+  if (traced) {
+    for (const std::string& line : cell.Events().Lines())
+      std::cout << line << "\n";
+  }
+  for (const std::string& violation : cell.Checker().Violations())
+    std::cout << "seed " << seed << " " << violation << "\n";
+  return cell.Checker().Violations().empty();
+}
+
+TEST_CASE("a cell without faults executes all jobs") {
+  CHECK(KeepsPromises(FromEnvironment("BASILSPUR_SEED", 1), false));
+}
+
+TEST_CASE("a cell keeps the users' promises under random faults",
+          "[known-red]") {
+  const std::uint64_t first = FromEnvironment("BASILSPUR_SEED", 1);
+  const std::uint64_t count = FromEnvironment("BASILSPUR_SEEDS", 40);
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    CAPTURE(seed);
+    CHECK(KeepsPromises(seed, true));
+  }
+}
--- /dev/null
+++ b/tests/sim/link_faults.h
@@ -0,0 +1,29 @@
+#ifndef TESTS_SIM_LINK_FAULTS_H_
+#define TESTS_SIM_LINK_FAULTS_H_
+
+#include <set>
+#include <string>
+
+namespace basilspur::sim {
+
+/// How the store treats a node's calls.
+enum class StoreAccess {
+  kNormal,
+  kRefused,     ///< Answers that nothing was done.
+  kSilent,      ///< Nothing is done and nothing answered.
+  kLosesCalls,  ///< Some calls are not answered, or executed late or never.
+};
+
+/// The present faults on the links of one node.
+///
+/// Thread safety: a plain value.
+struct LinkFaults {
+  StoreAccess store = StoreAccess::kNormal;
+  bool peers_cut = false;
+  std::set<std::string> cut_vms;    ///< Ids of VMs without a path.
+  std::set<std::string> lossy_vms;  ///< Ids of VMs whose answers may be lost.
+};
+
+}  // namespace basilspur::sim
+
+#endif  // TESTS_SIM_LINK_FAULTS_H_
--- /dev/null
+++ b/tests/sim/promise_checker.cc
@@ -0,0 +1,147 @@
+#include "sim/promise_checker.h"
+
+#include <algorithm>
+
+namespace basilspur::sim {
+
+/// How long a task that lasts may be without a run in a calm period.
+static constexpr Millis kMaxGapOfLongRunning(9'000);
+
+void PromiseChecker::Report(const std::string& violation) {
+  trace_.Add("VIOLATION " + violation);
+  violations_.push_back(violation);
+}
+
+void PromiseChecker::OnSubmit(const std::string& job,
+                              const jobs::JobSpec& spec) {
+  specs_.emplace(job, spec);
+}
+
+void PromiseChecker::OnAccepted(const std::string& job) {
+  if (accepted_.insert(job).second) trace_.Add("accepted " + job);
+}
+
+bool PromiseChecker::AllDone(const std::string& job, int step) const {
+  const jobs::StepSpec& spec = specs_.at(job).steps[step];
+  for (int index = 0; index < spec.count; ++index) {
+    const auto found = tasks_.find({job, 0, step, index});
+    if (found == tasks_.end() || found->second.done.empty()) return false;
+  }
+  return true;
+}
+
+void PromiseChecker::OnShown(const std::string& job, cell::ReplyKind state) {
+  if (state == cell::ReplyKind::kNoSuchJob && accepted_.contains(job))
+    Report("LOST: accepted job " + job + " is shown as unknown");
+  if (state != cell::ReplyKind::kDone) return;
+  for (std::size_t step = 0; step < specs_.at(job).steps.size(); ++step) {
+    if (AllDone(job, static_cast<int>(step))) continue;
+    Report("MIXED: job " + job + " is shown as done, step " +
+           std::to_string(step) + " is not");
+  }
+}
+
+void PromiseChecker::CheckDependencies(const jobs::TaskRef& task) {
+  for (const int needed : specs_.at(task.job).steps[task.step].dependencies) {
+    if (AllDone(task.job, needed)) continue;
+    Report("ORDER: " + task.ToString() + " started before step " +
+           std::to_string(needed) + " was done");
+  }
+}
+
+void PromiseChecker::OnStart(const std::string& vm, const jobs::TaskRef& task,
+                             int run, bool fits) {
+  const std::string text =
+      task.ToString() + " run=" + std::to_string(run) + " vm=" + vm;
+  trace_.Add("start " + text);
+  if (!specs_.contains(task.job)) {
+    Report("UNASKED: " + text);
+    return;
+  }
+  TaskState& state = tasks_[task];
+  for (const auto& [other, number] : state.runs) {
+    Report("TWICE: " + text + " while run=" + std::to_string(number) +
+           " is on vm=" + other);
+  }
+  for (const DoneEnd& end : state.done) {
+    if (!end.acknowledged || end.lapsed) continue;
+    Report("TWICE: " + text + " after its acknowledged end on vm=" + end.vm);
+  }
+  if (!fits) Report("LIMIT: " + text);
+  CheckDependencies(task);
+  state.runs[vm] = run;
+  state.last_start = clock_.Monotonic();
+  state.last_start_text = text;
+}
+
+void PromiseChecker::OnEnd(const std::string& vm,
+                           const jobs::EndedRunReport& end) {
+  trace_.Add("end " + end.task.ToString() + " run=" + std::to_string(end.run) +
+             " vm=" + vm + " how=" + std::to_string(static_cast<int>(end.end)) +
+             " number=" + std::to_string(end.number));
+  TaskState& state = tasks_[end.task];
+  state.runs.erase(vm);
+  state.last_run_end = clock_.Monotonic();
+  if (end.end == jobs::RunEnd::kFailed) ++state.failures;
+  if (end.end != jobs::RunEnd::kDone) return;
+  state.done.push_back({vm, end.number, clock_.Monotonic()});
+}
+
+void PromiseChecker::OnAcknowledged(const std::string& vm,
+                                    const jobs::EndedRunReport& end) {
+  if (end.end != jobs::RunEnd::kDone) return;
+  trace_.Add("acknowledged " + end.task.ToString() + " vm=" + vm +
+             " number=" + std::to_string(end.number));
+  TaskState& state = tasks_[end.task];
+  for (DoneEnd& done : state.done) {
+    if (done.vm != vm || done.number != end.number) continue;
+    done.acknowledged = true;
+    if (!done.lapsed && state.last_start > done.at) {
+      Report("TWICE: " + state.last_start_text + " after its end on vm=" + vm +
+             ", acknowledged later");
+    }
+  }
+}
+
+void PromiseChecker::OnLapse(const std::string& vm) {
+  trace_.Add("lapse vm=" + vm);
+  for (auto& [task, state] : tasks_) {
+    for (DoneEnd& done : state.done) {
+      if (done.vm == vm && !done.acknowledged) done.lapsed = true;
+    }
+  }
+}
+
+void PromiseChecker::OnVmGone(const std::string& vm) {
+  trace_.Add("gone vm=" + vm);
+  for (auto& [task, state] : tasks_) {
+    if (state.runs.erase(vm) > 0) state.last_run_end = clock_.Monotonic();
+  }
+}
+
+void PromiseChecker::CheckAfterCalm(const std::string& job,
+                                    cell::ReplyKind state) {
+  const jobs::JobSpec& spec = specs_.at(job);
+  if (state == cell::ReplyKind::kNoSuchJob) {
+    Report("LOST: accepted job " + job + " is unknown after the calm");
+    return;
+  }
+  if (!spec.IsLongRunning()) {
+    if (state == cell::ReplyKind::kDone) return;
+    Report("LOST: job " + job + " is not done after the calm, state=" +
+           std::to_string(static_cast<int>(state)));
+    return;
+  }
+  for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+    for (int index = 0; index < spec.steps[step].count; ++index) {
+      const TaskState& task = tasks_[{job, 0, static_cast<int>(step), index}];
+      const bool fresh =
+          clock_.Monotonic() - task.last_run_end < kMaxGapOfLongRunning;
+      if (!task.runs.empty() || fresh) continue;
+      Report("LOST: long-running task of " + job + " index " +
+             std::to_string(index) + " has no run");
+    }
+  }
+}
+
+}  // namespace basilspur::sim
--- /dev/null
+++ b/tests/sim/promise_checker.h
@@ -0,0 +1,81 @@
+#ifndef TESTS_SIM_PROMISE_CHECKER_H_
+#define TESTS_SIM_PROMISE_CHECKER_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "cell/peer_messages.h"
+#include "jobs/job_spec.h"
+#include "jobs/vm_report.h"
+#include "sim/trace.h"
+
+namespace basilspur::sim {
+
+/// Checks the users' promises by what the VMs and the callers see.
+///
+/// Thread safety: one thread at a time.
+class PromiseChecker {
+ public:
+  /// Precondition: the references outlive the object.
+  PromiseChecker(const Clock& clock, Trace& trace)
+      : clock_(clock), trace_(trace) {}
+
+  /// A caller is about to submit the job.
+  void OnSubmit(const std::string& job, const jobs::JobSpec& spec);
+  void OnAccepted(const std::string& job);
+  void OnShown(const std::string& job, cell::ReplyKind state);
+
+  /// A run was started on a VM. `fits` tells whether the VM had room for it.
+  void OnStart(const std::string& vm, const jobs::TaskRef& task, int run,
+               bool fits);
+  void OnEnd(const std::string& vm, const jobs::EndedRunReport& end);
+  /// The owner has acknowledged the end to the VM.
+  void OnAcknowledged(const std::string& vm, const jobs::EndedRunReport& end);
+  /// The lease of the VM has expired. Ends that were not acknowledged are void.
+  void OnLapse(const std::string& vm);
+  /// The VM and all its runs are gone.
+  void OnVmGone(const std::string& vm);
+
+  /// Accepted jobs in the order of their ids.
+  const std::set<std::string>& Accepted() const { return accepted_; }
+  /// Reports what was lost after a calm period: accepted jobs that are not in
+  /// the state that they have to be in, by `state` as the owner shows it.
+  void CheckAfterCalm(const std::string& job, cell::ReplyKind state);
+  void Report(const std::string& violation);
+  const std::vector<std::string>& Violations() const { return violations_; }
+
+ private:
+  struct DoneEnd {
+    std::string vm;
+    std::int64_t number = 0;
+    Millis at;
+    bool acknowledged = false;
+    bool lapsed = false;
+  };
+  struct TaskState {
+    std::map<std::string, int> runs;  ///< Present runs by VM.
+    std::vector<DoneEnd> done;
+    Millis last_start;
+    std::string last_start_text;
+    int failures = 0;
+    Millis last_run_end;
+  };
+
+  bool AllDone(const std::string& job, int step) const;
+  void CheckDependencies(const jobs::TaskRef& task);
+
+  const Clock& clock_;
+  Trace& trace_;
+  std::map<std::string, jobs::JobSpec> specs_;
+  std::set<std::string> accepted_;
+  std::map<jobs::TaskRef, TaskState> tasks_;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace basilspur::sim
+
+#endif  // TESTS_SIM_PROMISE_CHECKER_H_
--- /dev/null
+++ b/tests/sim/simulated_cell.cc
@@ -0,0 +1,325 @@
+#include "sim/simulated_cell.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sim/call.h"
+
+namespace basilspur::sim {
+
+static constexpr char kQueue[] = "reports";
+static constexpr char kService[] = "workers";
+static constexpr char kNodePrefix[] = "node";
+/// Stands for the incarnation of an address that refuses connections.
+static constexpr char kNoProcess[] = "-";
+static constexpr Millis kCallerTimeout(3'000);
+static constexpr Millis kCallerRetryInterval(200);
+static constexpr Millis kConnectTimeout(800);
+static constexpr Millis kUnlimited(1'000'000);
+
+SimulatedCell::SimulatedCell(std::uint64_t seed, int nodes)
+    : random_(seed),
+      trace_(time_),
+      checker_(time_, trace_),
+      faults_(nodes),
+      last_listing_due_(nodes),
+      nodes_(nodes) {
+  for (int node = 0; node < nodes; ++node) StartNode(node);
+}
+
+SimulatedCell::~SimulatedCell() {
+  network_.Shutdown();
+  for (const auto& node : nodes_) {
+    if (node) node->Context().Shutdown();
+  }
+  for (const auto& node : ended_nodes_) node->Context().Shutdown();
+}
+
+void SimulatedCell::Settle() {
+  for (bool busy = true; busy;) {
+    network_.restart();
+    busy = network_.poll() > 0;
+    // Handlers may start or end nodes.
+    const std::vector<std::shared_ptr<SimulatedNode>> nodes = nodes_;
+    for (const auto& node : nodes) {
+      if (node && node->alive && !node->frozen && node->Poll()) busy = true;
+    }
+  }
+}
+
+bool SimulatedCell::RunUntil(const std::function<bool()>& done, Millis limit) {
+  const Millis end = time_.Monotonic() + limit;
+  for (;;) {
+    Settle();
+    if (done()) return true;
+    if (time_.Monotonic() >= end) return false;
+    time_.AdvanceToNextTimer(end);
+  }
+}
+
+void SimulatedCell::RunFor(Millis duration) {
+  RunUntil([] { return false; }, duration);
+}
+
+void SimulatedCell::Spawn(net::asio::awaitable<void> work) {
+  net::asio::co_spawn(network_, std::move(work), net::asio::detached);
+}
+
+records::Resources SimulatedCell::NeedOf(const jobs::TaskRef& task) const {
+  const auto found = specs_.find(task.job);
+  if (found == specs_.end()) return {};
+  return found->second.steps[task.step].need;
+}
+
+void SimulatedCell::StartNode(int node) {
+  const std::string name = kNodePrefix + std::to_string(node);
+  jobs::QueueConfig queue;
+  queue.name = kQueue;
+  queue.service = kService;
+  queue.attempts = 3;
+  jobs::Catalog catalog;
+  catalog.version = 1;
+  catalog.queues = {queue};
+  SimulatedNode::Environment environment{
+      network_,
+      time_,
+      random_,
+      trace_,
+      store_,
+      faults_[node],
+      [this](const std::string& id) {
+        const auto found = vms_.find(id);
+        return found == vms_.end() ? nullptr : found->second;
+      },
+      [this](const jobs::TaskRef& task) { return NeedOf(task); },
+      [this, node](std::string address, cell::JobRequest request,
+                   Millis timeout) {
+        return CallPeer(node, std::move(address), std::move(request), timeout);
+      },
+      [this] {
+        std::vector<jobs::VmListing> listings;
+        for (const auto& [id, listing] : listed_) listings.push_back(listing);
+        return listings;
+      },
+      catalog};
+  const std::string incarnation = name + "/" + std::to_string(++processes_);
+  nodes_[node] = std::make_shared<SimulatedNode>(
+      std::move(environment),
+      cell::CellMember::Identity{name, incarnation, name}, random_.Next());
+  nodes_[node]->Start();
+  trace_.Add("started " + incarnation);
+}
+
+void SimulatedCell::KillNode(int node) {
+  if (!nodes_[node]) return;
+  trace_.Add("killed " + nodes_[node]->Incarnation());
+  nodes_[node]->alive = false;
+  ended_nodes_.push_back(std::move(nodes_[node]));
+  nodes_[node] = nullptr;
+}
+
+net::asio::awaitable<void> SimulatedCell::KillAfter(
+    std::shared_ptr<SimulatedNode> node, int number, Millis grace) {
+  co_await net::Sleep(grace);
+  if (nodes_[number] == node) KillNode(number);
+}
+
+void SimulatedCell::TerminateNode(int node, Millis grace) {
+  if (!nodes_[node]) return;
+  trace_.Add("terminating " + nodes_[node]->Incarnation());
+  const std::weak_ptr<SimulatedNode> process = nodes_[node];
+  nodes_[node]->Leave([this, node, process] {
+    if (nodes_[node] == process.lock()) KillNode(node);
+  });
+  Spawn(KillAfter(nodes_[node], node, grace));
+}
+
+void SimulatedCell::SetFrozen(int node, bool frozen) {
+  if (!nodes_[node] || nodes_[node]->frozen == frozen) return;
+  trace_.Add((frozen ? "frozen " : "thawed ") + nodes_[node]->Incarnation());
+  nodes_[node]->frozen = frozen;
+}
+
+int SimulatedCell::Owner() const {
+  int best = -1;
+  std::int64_t best_token = -1;
+  for (int node = 0; node < NodeCount(); ++node) {
+    if (!nodes_[node] || !nodes_[node]->Member().Owner()) continue;
+    const auto& known = nodes_[node]->Member().KnownOwner();
+    const std::int64_t token = known ? known->token : 0;
+    if (token <= best_token) continue;
+    best = node;
+    best_token = token;
+  }
+  return best;
+}
+
+bool SimulatedCell::IsOwnerReady() const {
+  const int owner = Owner();
+  return owner >= 0 && nodes_[owner]->Member().Owner()->IsReady();
+}
+
+std::string SimulatedCell::StartVm(const std::string& machine,
+                                   int clock_percent) {
+  std::string& current = vm_of_machine_[machine];
+  int life = 1;
+  if (!current.empty()) {
+    TerminateVm(current);
+    vms_[current]->Replace();
+    while (vms_.contains(machine + "-" + std::to_string(life))) ++life;
+  }
+  jobs::VmListing listing;
+  listing.id = machine + "-" + std::to_string(life);
+  listing.address = machine;
+  listing.service = kService;
+  listing.kind = "a";
+  listing.rack = "r1";
+  listing.capacity = {8'000, 64'000, 0};
+  current = listing.id;
+  vms_[current] = std::make_shared<SimulatedVm>(
+      network_, time_, random_, trace_, checker_, listing, clock_percent);
+  vms_[current]->Run();
+  return current;
+}
+
+void SimulatedCell::TerminateVm(const std::string& vm) {
+  if (vms_.at(vm)->IsUp()) vms_.at(vm)->Terminate();
+}
+
+std::vector<std::string> SimulatedCell::Vms() const {
+  std::vector<std::string> up;
+  for (const auto& [id, vm] : vms_) {
+    if (vm->IsUp()) up.push_back(id);
+  }
+  return up;
+}
+
+void SimulatedCell::ChangeListing(const jobs::VmListing& listing, bool listed,
+                                  Millis max_delay) {
+  trace_.Add((listed ? "listed vm=" : "unlisted vm=") + listing.id);
+  for (int node = 0; node < NodeCount(); ++node) {
+    const Millis delay(static_cast<std::int64_t>(
+        random_.Below(static_cast<std::uint64_t>(max_delay.count) + 1)));
+    Millis& last = last_listing_due_[node];
+    last = std::max(last, time_.Monotonic() + delay);
+    if (nodes_[node]) nodes_[node]->OnListingChange({listing, listed, last});
+  }
+}
+
+void SimulatedCell::ListVm(const std::string& vm, Millis max_delay) {
+  listed_[vm] = vms_.at(vm)->Listing();
+  ChangeListing(vms_.at(vm)->Listing(), true, max_delay);
+}
+
+void SimulatedCell::UnlistVm(const std::string& vm, Millis max_delay) {
+  if (listed_.erase(vm) == 0) return;
+  ChangeListing(vms_.at(vm)->Listing(), false, max_delay);
+}
+
+int SimulatedCell::RandomNode() {
+  return static_cast<int>(random_.Below(nodes_.size()));
+}
+
+net::asio::awaitable<std::optional<cell::JobReply>> SimulatedCell::Ask(
+    int node, cell::JobRequest request, bool from_peer) {
+  const std::shared_ptr<SimulatedNode> process = nodes_[node];
+  if (!process) co_return std::nullopt;
+  SimulatedNode& server = *process;
+  auto execution = [](SimulatedNode& server, cell::JobRequest request,
+                      bool from_peer)
+      -> net::asio::awaitable<std::optional<cell::JobReply>> {
+    if (from_peer) co_return co_await server.HandlePeerRequest(request);
+    co_return co_await server.Handle(request);
+  }(server, std::move(request), from_peer);
+  co_return co_await Call(process->Context(), kUnlimited, std::move(execution));
+}
+
+net::asio::awaitable<std::optional<cell::JobReply>>
+SimulatedCell::ExecutePeerCall(int from, int to, cell::JobRequest request) {
+  co_await net::Sleep(Millis(1 + static_cast<int>(random_.Below(5))));
+  if (faults_[from].peers_cut || faults_[to].peers_cut) co_return std::nullopt;
+  if (!nodes_[to]) {
+    cell::JobReply refused;
+    refused.incarnation = kNoProcess;
+    co_return refused;
+  }
+  const std::optional<cell::JobReply> reply =
+      co_await Ask(to, std::move(request), true);
+  co_await net::Sleep(Millis(1 + static_cast<int>(random_.Below(5))));
+  if (faults_[from].peers_cut || faults_[to].peers_cut) co_return std::nullopt;
+  co_return reply;
+}
+
+net::asio::awaitable<cell::JobReply> SimulatedCell::CallPeer(
+    int from, std::string address, cell::JobRequest request, Millis timeout) {
+  const int to = std::stoi(address.substr(std::string(kNodePrefix).size()));
+  auto execution = ExecutePeerCall(from, to, std::move(request));
+  const std::optional<cell::JobReply> reply =
+      co_await Call(network_, timeout, std::move(execution));
+  if (reply) co_return *reply;
+  co_return cell::JobReply{cell::ReplyKind::kInDoubt};
+}
+
+void SimulatedCell::Submit(const std::string& job, const jobs::JobSpec& spec) {
+  specs_[job] = spec;
+  checker_.OnSubmit(job, spec);
+  Spawn(SubmitUntilAccepted(job, spec));
+}
+
+net::asio::awaitable<void> SimulatedCell::SubmitUntilAccepted(
+    std::string job, jobs::JobSpec spec) {
+  for (;;) {
+    cell::JobRequest request;
+    request.kind = cell::RequestKind::kSubmit;
+    request.queue = kQueue;
+    request.job = job;
+    request.spec = spec;
+    request.timeout_ms = kCallerTimeout.count;
+    auto execution = Ask(RandomNode(), std::move(request), false);
+    const std::optional<cell::JobReply> reply =
+        co_await Call(network_, kCallerTimeout, std::move(execution));
+    if (reply && reply->kind == cell::ReplyKind::kAccepted) break;
+    co_await net::Sleep(kCallerRetryInterval);
+  }
+  checker_.OnAccepted(job);
+}
+
+net::asio::awaitable<void> SimulatedCell::AskStateOnce(std::string job) {
+  cell::JobRequest request;
+  request.kind = cell::RequestKind::kStatus;
+  request.job = job;
+  request.timeout_ms = kCallerTimeout.count;
+  auto execution = Ask(RandomNode(), std::move(request), false);
+  const std::optional<cell::JobReply> reply =
+      co_await Call(network_, kCallerTimeout, std::move(execution));
+  if (reply) checker_.OnShown(job, reply->kind);
+}
+
+void SimulatedCell::AskState(const std::string& job) {
+  Spawn(AskStateOnce(job));
+}
+
+void SimulatedCell::CheckAfterCalm() {
+  const int owner = Owner();
+  if (owner < 0 || !IsOwnerReady()) {
+    checker_.Report("LOST: the cell has no owner after the calm");
+    return;
+  }
+  for (const std::string& job : checker_.Accepted()) {
+    cell::JobRequest request;
+    request.kind = cell::RequestKind::kStatus;
+    request.job = job;
+    request.timeout_ms = kCallerTimeout.count;
+    const auto reply = std::make_shared<std::optional<cell::JobReply>>();
+    Spawn([](SimulatedCell& cell, int node, cell::JobRequest asked,
+             std::shared_ptr<std::optional<cell::JobReply>> answer)
+              -> net::asio::awaitable<void> {
+      *answer = co_await cell.Ask(node, std::move(asked), true);
+    }(*this, owner, std::move(request), reply));
+    RunUntil([&] { return reply->has_value(); }, kCallerTimeout);
+    checker_.CheckAfterCalm(
+        job, *reply ? (*reply)->kind : cell::ReplyKind::kUnavailable);
+  }
+}
+
+}  // namespace basilspur::sim
--- /dev/null
+++ b/tests/sim/simulated_cell.h
@@ -0,0 +1,116 @@
+#ifndef TESTS_SIM_SIMULATED_CELL_H_
+#define TESTS_SIM_SIMULATED_CELL_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "sim/context.h"
+#include "sim/promise_checker.h"
+#include "sim/simulated_node.h"
+#include "sim/simulated_store.h"
+#include "sim/simulated_time.h"
+#include "sim/simulated_vm.h"
+#include "sim/trace.h"
+
+namespace basilspur::sim {
+
+/// A cell with several nodes, a store and VMs in simulated time. The same seed
+/// and calls give the same course of events.
+///
+/// Thread safety: one thread at a time, and one object at a time.
+class SimulatedCell {
+ public:
+  SimulatedCell(std::uint64_t seed, int nodes);
+  ~SimulatedCell();
+
+  /// Lets the time go on.
+  void RunFor(Millis duration);
+  /// Runs until `done` returns true, or for `limit`. Returns the last result.
+  bool RunUntil(const std::function<bool()>& done, Millis limit);
+
+  // Nodes are numbered from 0. A node that is not alive has no process.
+
+  void StartNode(int node);
+  void KillNode(int node);
+  /// Sends SIGTERM: the node hands over and ends, or is killed after `grace`.
+  void TerminateNode(int node, Millis grace);
+  void SetFrozen(int node, bool frozen);
+  bool IsAlive(int node) const { return nodes_[node] != nullptr; }
+  /// The node that acts as the owner under the highest token; -1: none.
+  int Owner() const;
+  /// Whether the owner has restored the cell's state and serves requests.
+  bool IsOwnerReady() const;
+  LinkFaults& Faults(int node) { return faults_[node]; }
+  int NodeCount() const { return static_cast<int>(nodes_.size()); }
+
+  /// Starts a VM on `machine` with a new id, and returns the id. Terminates the
+  /// machine's previous VM.
+  std::string StartVm(const std::string& machine, int clock_percent = 100);
+  void TerminateVm(const std::string& vm);
+  /// Each node learns of it after a delay of its own, up to `max_delay`.
+  void ListVm(const std::string& vm, Millis max_delay);
+  void UnlistVm(const std::string& vm, Millis max_delay);
+  /// Ids of the VMs that are up.
+  std::vector<std::string> Vms() const;
+  bool IsListed(const std::string& vm) const { return listed_.contains(vm); }
+
+  /// A caller submits the job until it is accepted, at any nodes.
+  void Submit(const std::string& job, const jobs::JobSpec& spec);
+  /// A caller asks for the job's state at any node.
+  void AskState(const std::string& job);
+  /// Reports each accepted job that is not in the state that it has to be in
+  /// after a calm period.
+  void CheckAfterCalm();
+
+  /// Lets `work` run beside the simulation.
+  void Spawn(net::asio::awaitable<void> work);
+
+  PromiseChecker& Checker() { return checker_; }
+  Trace& Events() { return trace_; }
+  Random& Randomness() { return random_; }
+  SimulatedStore& Store() { return store_; }
+
+ private:
+  net::asio::awaitable<cell::JobReply> CallPeer(int from, std::string address,
+                                                cell::JobRequest request,
+                                                Millis timeout);
+  net::asio::awaitable<std::optional<cell::JobReply>> ExecutePeerCall(
+      int from, int to, cell::JobRequest request);
+  net::asio::awaitable<std::optional<cell::JobReply>> Ask(
+      int node, cell::JobRequest request, bool from_peer);
+  net::asio::awaitable<void> SubmitUntilAccepted(std::string job,
+                                                 jobs::JobSpec spec);
+  net::asio::awaitable<void> AskStateOnce(std::string job);
+  net::asio::awaitable<void> KillAfter(std::shared_ptr<SimulatedNode> node,
+                                       int number, Millis grace);
+  void ChangeListing(const jobs::VmListing& listing, bool listed,
+                     Millis max_delay);
+  int RandomNode();
+  void Settle();
+  records::Resources NeedOf(const jobs::TaskRef& task) const;
+
+  SimulatedTime time_;
+  Context network_;  ///< Of everything but the nodes.
+  Random random_;
+  Trace trace_;
+  PromiseChecker checker_;
+  SimulatedStore store_;
+  std::map<std::string, std::shared_ptr<SimulatedVm>> vms_;
+  std::map<std::string, std::string> vm_of_machine_;
+  std::map<std::string, jobs::VmListing> listed_;
+  std::map<std::string, jobs::JobSpec> specs_;
+  std::vector<LinkFaults> faults_;
+  std::vector<Millis> last_listing_due_;
+  std::vector<std::shared_ptr<SimulatedNode>> nodes_;
+  /// Processes that have ended; calls of theirs may still be on their way.
+  std::vector<std::shared_ptr<SimulatedNode>> ended_nodes_;
+  int processes_ = 0;
+};
+
+}  // namespace basilspur::sim
+
+#endif  // TESTS_SIM_SIMULATED_CELL_H_
--- /dev/null
+++ b/tests/sim/simulated_node.cc
@@ -0,0 +1,207 @@
+#include "sim/simulated_node.h"
+
+#include <limits>
+#include <utility>
+
+namespace basilspur::sim {
+
+static constexpr int kCell = 0;
+static constexpr Millis kTickInterval(100);
+static constexpr Millis kDirectoryPollInterval(20);
+static constexpr int kMaxDirectoryDelayMs = 2'000;
+static constexpr Millis kOwnerSearchTimeout(700);
+static constexpr Millis kOwnerRetryInterval(60);
+static constexpr Millis kReplyMargin(150);
+
+SimulatedNode::SimulatedNode(Environment environment,
+                             cell::CellMember::Identity identity,
+                             std::uint64_t seed)
+    : environment_(std::move(environment)),
+      identity_(std::move(identity)),
+      store_(environment_.network, environment_.store, environment_.faults,
+             environment_.clock, environment_.random),
+      vm_client_(environment_.network, environment_.faults, environment_.random,
+                 environment_.find_vm, environment_.need_of) {
+  cell::CellMember::Callbacks callbacks;
+  callbacks.make_owner = [this](cell::CellOwner::Ownership ownership,
+                                std::function<bool()> is_authoritative,
+                                std::function<void()> on_fenced) {
+    return MakeOwner(std::move(ownership), std::move(is_authoritative),
+                     std::move(on_fenced));
+  };
+  callbacks.call_peer = environment_.call_peer;
+  callbacks.on_load = [](const cell::CellLoad&) {};
+  callbacks.on_tail_record = [](const records::Bytes&) {};
+  member_ = std::make_shared<cell::CellMember>(
+      context_, store_, environment_.clock, identity_, cell::ElectionSettings{},
+      kCell, seed, std::move(callbacks));
+}
+
+SimulatedNode::~SimulatedNode() {
+  // A member refers to itself through its watcher. It is kept reachable, as its
+  // process would keep it to its end.
+  static auto* const retired =
+      new std::vector<std::shared_ptr<cell::CellMember>>();
+  member_->OnStepDownRequest(std::numeric_limits<std::int64_t>::max());
+  retired->push_back(std::move(member_));
+}
+
+void SimulatedNode::Start() {
+  member_->Start();
+  net::asio::co_spawn(context_, RunTicks(), net::asio::detached);
+}
+
+bool SimulatedNode::Poll() {
+  context_.restart();
+  return context_.poll() > 0;
+}
+
+std::shared_ptr<cell::CellOwner> SimulatedNode::MakeOwner(
+    cell::CellOwner::Ownership ownership,
+    std::function<bool()> is_authoritative, std::function<void()> on_fenced) {
+  if (!directory_started_) {
+    directory_started_ = true;
+    net::asio::co_spawn(context_, RunDirectory(), net::asio::detached);
+  }
+  cell::CellOwner::Callbacks callbacks;
+  callbacks.choose_cell = [](int home_cell, const std::string&,
+                             const jobs::JobSpec&) { return home_cell; };
+  callbacks.forward_request = [this](cell::JobRequest request) {
+    return Handle(std::move(request));
+  };
+  environment_.trace.Add(
+      "owner " + identity_.incarnation +
+      " token=" + std::to_string(ownership.token) +
+      " term=" + std::to_string(ownership.term) + " handed_over=" +
+      std::to_string(static_cast<int>(ownership.handed_over)) +
+      " journal_complete=" +
+      std::to_string(static_cast<int>(ownership.journal_complete)) +
+      " unreachable=" + std::to_string(ownership.unreachable_vms.size()) +
+      " known_vms=" + std::to_string(vms_.size()));
+  auto owner = std::make_shared<cell::CellOwner>(
+      context_, store_, vm_client_, environment_.clock,
+      cell::CellOwnerSettings{}, std::move(ownership), std::move(callbacks),
+      std::move(is_authoritative), std::move(on_fenced));
+  owner->OnCatalog(environment_.catalog);
+  for (const auto& [id, listing] : vms_) owner->OnVmListed(listing);
+  return owner;
+}
+
+net::asio::awaitable<void> SimulatedNode::RunTicks() {
+  for (;;) {
+    co_await net::Sleep(kTickInterval);
+    member_->Tick(member_->Owns() ? 1 : 0);
+    TraceOwnership();
+  }
+}
+
+void SimulatedNode::TraceOwnership() {
+  std::string text = "ended";
+  if (member_->Owner())
+    text = member_->Owner()->IsReady() ? "ready" : "taking over";
+  if (text == traced_ownership_) return;
+  traced_ownership_ = text;
+  environment_.trace.Add("ownership " + identity_.incarnation + " " + text);
+}
+
+net::asio::awaitable<void> SimulatedNode::RunDirectory() {
+  co_await net::Sleep(Millis(static_cast<std::int64_t>(
+      environment_.random.Below(kMaxDirectoryDelayMs))));
+  const auto readable = [this] {
+    return environment_.faults.store == StoreAccess::kNormal ||
+           environment_.faults.store == StoreAccess::kLosesCalls;
+  };
+  while (!readable()) co_await net::Sleep(kDirectoryPollInterval);
+  listing_changes_.clear();
+  for (const jobs::VmListing& listing : environment_.list_vms())
+    ApplyListingChange({listing, true, {}});
+  for (;;) {
+    while (readable() && !listing_changes_.empty() &&
+           listing_changes_.front().due <= environment_.clock.Monotonic()) {
+      const ListingChange change = listing_changes_.front();
+      listing_changes_.pop_front();
+      ApplyListingChange(change);
+    }
+    co_await net::Sleep(kDirectoryPollInterval);
+  }
+}
+
+void SimulatedNode::OnListingChange(const ListingChange& change) {
+  if (directory_started_) listing_changes_.push_back(change);
+}
+
+void SimulatedNode::ApplyListingChange(const ListingChange& change) {
+  const std::string& id = change.listing.id;
+  environment_.trace.Add(identity_.incarnation +
+                         (change.listed ? " learns of vm=" : " unlists vm=") +
+                         id);
+  cell::CellOwner* owner = member_->Owner();
+  if (change.listed) {
+    vms_[id] = change.listing;
+    if (owner) owner->OnVmListed(change.listing);
+    return;
+  }
+  if (vms_.erase(id) == 0) return;
+  if (owner) owner->OnVmUnlisted(id);
+}
+
+net::asio::awaitable<void> SimulatedNode::RunLeave(
+    std::function<void()> on_left) {
+  co_await member_->Leave();
+  on_left();
+}
+
+void SimulatedNode::Leave(std::function<void()> on_left) {
+  net::asio::co_spawn(context_, RunLeave(std::move(on_left)),
+                      net::asio::detached);
+}
+
+net::asio::awaitable<cell::JobReply> SimulatedNode::HandlePeerRequest(
+    cell::JobRequest request) {
+  cell::JobReply reply;
+  if (request.kind == cell::RequestKind::kStepDown) {
+    member_->OnStepDownRequest(request.token);
+    reply.kind = cell::ReplyKind::kSteppedDown;
+  } else if (member_->Owner()) {
+    reply = co_await member_->Owner()->Handle(std::move(request));
+  }
+  reply.incarnation = identity_.incarnation;
+  co_return reply;
+}
+
+net::asio::awaitable<cell::JobReply> SimulatedNode::Handle(
+    cell::JobRequest request) {
+  const Millis started = environment_.clock.Monotonic();
+  const Millis timeout = Millis(request.timeout_ms) - kReplyMargin;
+  bool in_doubt = false;
+  for (;;) {
+    const Millis elapsed = environment_.clock.Monotonic() - started;
+    if (elapsed >= timeout || (!in_doubt && elapsed > kOwnerSearchTimeout)) {
+      co_return cell::JobReply{in_doubt ? cell::ReplyKind::kInDoubt
+                                        : cell::ReplyKind::kUnavailable};
+    }
+    cell::JobRequest attempt = request;
+    attempt.timeout_ms = (timeout - elapsed).count;
+    cell::JobReply reply;
+    const std::optional<cell::OwnerRecord> known = member_->KnownOwner();
+    if (member_->Owner()) {
+      reply = co_await member_->Owner()->Handle(attempt);
+    } else if (known && known->incarnation != identity_.incarnation) {
+      reply = co_await environment_.call_peer(known->address, attempt,
+                                              timeout - elapsed);
+      if (!reply.incarnation.empty() &&
+          reply.incarnation != known->incarnation) {
+        member_->OnOwnerTerminated(known->incarnation);
+      }
+    }
+    if (reply.kind == cell::ReplyKind::kInDoubt) in_doubt = true;
+    const bool refused = reply.kind == cell::ReplyKind::kBusy ||
+                         reply.kind == cell::ReplyKind::kUnavailable;
+    const bool retry = reply.kind == cell::ReplyKind::kNotOwner ||
+                       reply.kind == cell::ReplyKind::kInDoubt;
+    if (!retry && !(in_doubt && refused)) co_return reply;
+    co_await net::Sleep(kOwnerRetryInterval);
+  }
+}
+
+}  // namespace basilspur::sim
--- /dev/null
+++ b/tests/sim/simulated_node.h
@@ -0,0 +1,94 @@
+#ifndef TESTS_SIM_SIMULATED_NODE_H_
+#define TESTS_SIM_SIMULATED_NODE_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cell/cell_member.h"
+#include "sim/context.h"
+#include "sim/simulated_store_client.h"
+#include "sim/simulated_vm_client.h"
+
+namespace basilspur::sim {
+
+/// A change of the platform's list of VMs, as one node learns of it.
+struct ListingChange {
+  jobs::VmListing listing;
+  bool listed = true;  ///< False: removed from the list.
+  Millis due;          ///< When the node learns of it.
+};
+
+/// One process of a node with its member of the only cell, wired like
+/// cell::Node.
+///
+/// Thread safety: only from the thread of the simulation.
+class SimulatedNode {
+ public:
+  using CallPeer = std::function<net::asio::awaitable<cell::JobReply>(
+      std::string address, cell::JobRequest request, Millis timeout)>;
+
+  struct Environment {
+    net::asio::io_context& network;
+    const Clock& clock;
+    Random& random;
+    Trace& trace;
+    SimulatedStore& store;
+    const LinkFaults& faults;
+    SimulatedVmClient::FindVm find_vm;
+    SimulatedVmClient::NeedOf need_of;
+    CallPeer call_peer;
+    /// The platform's present list of VMs.
+    std::function<std::vector<jobs::VmListing>()> list_vms;
+    jobs::Catalog catalog;
+  };
+
+  SimulatedNode(Environment environment, cell::CellMember::Identity identity,
+                std::uint64_t seed);
+  ~SimulatedNode();
+
+  void Start();
+  /// Executes what is ready now. Returns whether there was anything.
+  bool Poll();
+  /// The list of VMs has changed. The node learns of it at `change.due`.
+  void OnListingChange(const ListingChange& change);
+  /// Starts to hand over the cell, and then calls `on_left`.
+  void Leave(std::function<void()> on_left);
+  net::asio::awaitable<cell::JobReply> HandlePeerRequest(
+      cell::JobRequest request);
+  /// Serves a caller's request.
+  net::asio::awaitable<cell::JobReply> Handle(cell::JobRequest request);
+  sim::Context& Context() { return context_; }
+
+  cell::CellMember& Member() { return *member_; }
+  const std::string& Incarnation() const { return identity_.incarnation; }
+  bool frozen = false;  ///< Not scheduled by its host.
+  bool alive = true;
+
+ private:
+  std::shared_ptr<cell::CellOwner> MakeOwner(
+      cell::CellOwner::Ownership ownership,
+      std::function<bool()> is_authoritative, std::function<void()> on_fenced);
+  net::asio::awaitable<void> RunTicks();
+  net::asio::awaitable<void> RunDirectory();
+  net::asio::awaitable<void> RunLeave(std::function<void()> on_left);
+  void ApplyListingChange(const ListingChange& change);
+  void TraceOwnership();
+
+  Environment environment_;
+  cell::CellMember::Identity identity_;
+  sim::Context context_;
+  SimulatedStoreClient store_;
+  SimulatedVmClient vm_client_;
+  std::shared_ptr<cell::CellMember> member_;
+  std::map<std::string, jobs::VmListing> vms_;
+  std::deque<ListingChange> listing_changes_;
+  bool directory_started_ = false;
+  std::string traced_ownership_;
+};
+
+}  // namespace basilspur::sim
+
+#endif  // TESTS_SIM_SIMULATED_NODE_H_
--- /dev/null
+++ b/tests/sim/simulated_vm.h
@@ -0,0 +1,90 @@
+#ifndef TESTS_SIM_SIMULATED_VM_H_
+#define TESTS_SIM_SIMULATED_VM_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "cell/vm_client.h"
+#include "sim/promise_checker.h"
+#include "sim/wakeup.h"
+
+namespace basilspur::sim {
+
+/// One incarnation of a VM, which executes runs by the platform's rules. A
+/// run's payload states its duration in ms; 0: until it is stopped.
+///
+/// Thread safety: only from the thread of the simulation.
+class SimulatedVm : public std::enable_shared_from_this<SimulatedVm> {
+ public:
+  /// `clock_percent` is the speed of the VM's clock. Precondition: the
+  /// references outlive the object.
+  SimulatedVm(net::asio::io_context& network, const Clock& clock,
+              Random& random, Trace& trace, PromiseChecker& checker,
+              jobs::VmListing listing, int clock_percent);
+
+  /// Ends runs when they are due. Call once.
+  void Run();
+  cell::CommandAnswer Execute(const jobs::RunCommand& command,
+                              const records::Resources& need,
+                              std::int64_t fencing_token,
+                              std::int64_t deadline_ms);
+  net::asio::awaitable<cell::RenewalAnswer> Renew(cell::Renewal renewal);
+  /// All runs end without a report, and later calls are not answered.
+  void Terminate();
+  /// Another incarnation has taken over the address.
+  void Replace() { replaced_ = true; }
+
+  bool IsUp() const { return up_; }
+  bool IsReplaced() const { return replaced_; }
+  const jobs::VmListing& Listing() const { return listing_; }
+  bool HasRuns() const { return !running_.empty(); }
+
+ private:
+  struct ActiveRun {
+    int number = 0;
+    Millis ends_at;
+    bool endless = false;
+    bool stopping = false;
+    Millis stopped_at;  ///< Valid while stopping.
+    records::Resources need;
+  };
+
+  net::asio::awaitable<void> Loop();
+  /// Ends the runs that are due. Returns the time of the next.
+  Millis EndDueRuns();
+  void EndRun(const jobs::TaskRef& task, jobs::RunEnd end);
+  cell::CommandAnswer Start(const jobs::RunCommand& command,
+                            const records::Resources& need,
+                            std::int64_t deadline_ms);
+  cell::CommandAnswer Stop(const jobs::RunCommand& command);
+  bool IsStale(std::int64_t token);
+  void Extend(std::int64_t deadline_ms);
+  records::Resources Used() const;
+  std::int64_t ClockMs() const;
+
+  net::asio::io_context& network_;
+  const Clock& clock_;
+  Random& random_;
+  Trace& trace_;
+  PromiseChecker& checker_;
+  jobs::VmListing listing_;
+  int clock_percent_;
+  Millis booted_;
+  Wakeup changed_;  ///< A run was started, stopped or ended.
+  std::int64_t highest_token_ = -1;
+  std::int64_t deadline_ms_ = 0;
+  bool expired_ = true;  ///< The lease had expired at the last check.
+  std::int64_t last_end_ = 0;
+  std::map<jobs::TaskRef, ActiveRun> running_;
+  std::map<jobs::TaskRef, int> highest_ended_;
+  std::vector<jobs::EndedRunReport> ended_;
+  bool up_ = true;
+  bool replaced_ = false;
+};
+
+}  // namespace basilspur::sim
+
+#endif  // TESTS_SIM_SIMULATED_VM_H_
