--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -4,6 +4,13 @@
 
 namespace basilspur::jobs {
 
+Run* Task::FindRun(int number, std::string_view vm) {
+  for (Run& run : runs) {
+    if (run.number == number && run.vm == vm) return &run;
+  }
+  return nullptr;
+}
+
 bool Occurrence::IsDone() const {
   return std::all_of(steps.begin(), steps.end(),
                      [](const Step& step) { return step.IsDone(); });
@@ -66,7 +73,10 @@
   record.failures = task.failures;
   record.last_run = task.last_run;
   if (!task.done) record.checkpoint = task.checkpoint;
-  for (const Run& run : task.runs) record.vms.push_back(run.vm);
+  for (const Run& run : task.runs) {
+    record.vms.push_back(run.vm);
+    record.run_numbers.push_back(run.number);
+  }
   return record;
 }
 
@@ -113,10 +123,11 @@
       ++FindOccurrence(saved.occurrence)->steps[saved.step].done;
       continue;
     }
-    for (const std::string& vm : saved.vms) {
+    for (std::size_t i = 0; i < saved.vms.size(); ++i) {
       Run run;
-      run.number = saved.last_run;
-      run.vm = vm;
+      run.number =
+          i < saved.run_numbers.size() ? saved.run_numbers[i] : saved.last_run;
+      run.vm = saved.vms[i];
       run.phase = RunPhase::kInDoubt;
       task->runs.push_back(run);
     }
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -53,12 +54,8 @@
   std::vector<std::string> failed_on;  ///< VMs to avoid for further runs.
   Millis not_before;                   ///< Earliest time of the next run.
 
-  Run* FindRun(int number) {
-    for (Run& run : runs) {
-      if (run.number == number) return &run;
-    }
-    return nullptr;
-  }
+  /// Returns the run with this number on `vm`, or null.
+  Run* FindRun(int number, std::string_view vm);
 };
 
 /// State of a step in one occurrence of a job.
--- a/src/libs/jobs/job_progress.h
+++ b/src/libs/jobs/job_progress.h
@@ -44,13 +44,16 @@
   int failures = 0;
   int last_run = 0;
   std::string checkpoint;
-  /// VMs on which the last run may still be executing.
+  /// VMs on which runs may still be executing.
   std::vector<std::string> vms;
+  /// Numbers of the runs on `vms`, in the same order. Records of earlier
+  /// versions have none: `last_run` is the number of all of them.
+  std::vector<int> run_numbers;
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.occurrence, self.step, self.index, self.done, self.failures,
-            self.last_run, self.checkpoint, self.vms);
+            self.last_run, self.checkpoint, self.vms, self.run_numbers);
   }
 };
 
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -221,8 +221,8 @@
   void PlanEvacuations(const std::vector<Vm*>& vms, Millis now,
                        std::vector<RunCommand>& commands);
   /// Returns false if the run was not stopped.
-  bool Evacuate(const RunKey& key, const std::vector<Vm*>& vms, Millis now,
-                std::vector<RunCommand>& commands);
+  bool Evacuate(const Vm& from, const RunKey& key, const std::vector<Vm*>& vms,
+                Millis now, std::vector<RunCommand>& commands);
   void StartTask(Job& job, const TaskRef& ref, const Placement& place,
                  int number, Millis now, std::vector<RunCommand>& commands);
   void PlanRetries(Job& job, Millis now, std::vector<RunCommand>& commands);
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -70,7 +70,7 @@
                                   Millis now) {
   Job* job = FindJob(row.task.job);
   Task* task = job ? job->FindOrAdd(row.task) : nullptr;
-  Run* run = task ? task->FindRun(row.run) : nullptr;
+  Run* run = task ? task->FindRun(row.run, vm.listing.id) : nullptr;
   const RunKey key{row.task, row.run};
   const bool unjournaled = !run && IsUnjournaledRun(vm, job, task, row.run) &&
                            row.run > task->last_run;
@@ -86,7 +86,7 @@
     job->started = true;
     MarkProgressDirty(*job);
   }
-  if (!run || run->vm != vm.listing.id) {
+  if (!run) {
     // The resources of the run are unknown. All free capacity is charged, so
     // that nothing else is placed beside it.
     vm.Add(key, {vm.Free(), 0, 0});
@@ -152,7 +152,7 @@
     }
     Job* job = FindJob(key.first.job);
     Task* task = job ? job->Find(key.first) : nullptr;
-    Run* run = task ? task->FindRun(key.second) : nullptr;
+    Run* run = task ? task->FindRun(key.second, vm.listing.id) : nullptr;
     if (!run) {
       absent.push_back(key);
       continue;
@@ -170,18 +170,17 @@
                                 bool lease_expired, Millis now) {
   Job* job = FindJob(row.task.job);
   Task* task = job ? job->FindOrAdd(row.task) : nullptr;
-  const Run* run = task ? task->FindRun(row.run) : nullptr;
-  const bool on_this_vm = run && run->vm == vm.listing.id;
+  const Run* run = task ? task->FindRun(row.run, vm.listing.id) : nullptr;
   const bool unjournaled = !run && IsUnjournaledRun(vm, job, task, row.run);
   const RunOnVm* charged_run = vm.FindRun({row.task, row.run});
   const bool timed = run && run->created_at > Millis(0) && charged_run &&
                      charged_run->pace_changed_at == Millis(0);
-  if (on_this_vm && timed && row.end == RunEnd::kDone) {
+  if (timed && row.end == RunEnd::kDone) {
     tier_policy_.OnRunDone(job->record.queue, now - run->created_at);
   }
+  const bool known = run || unjournaled;
   ReleaseRun(vm, row.task, row.run);
-  if (!task || task->done || IsFinal(job->record.status)) return;
-  if (!on_this_vm && !unjournaled) return;
+  if (!known || task->done || IsFinal(job->record.status)) return;
   task->last_run = std::max(task->last_run, row.run);
   job->started = true;
   MarkProgressDirty(*job);
@@ -298,8 +297,8 @@
   }
   Job* job = FindJob(command.task.job);
   Task* task = job ? job->Find(command.task) : nullptr;
-  Run* run = task ? task->FindRun(command.run) : nullptr;
-  if (!run || run->vm != command.vm) return;
+  Run* run = task ? task->FindRun(command.run, command.vm) : nullptr;
+  if (!run) return;
   if (command.kind == RunCommandKind::kStop) {
     if (outcome != RunCommandOutcome::kDone) return;
     run->stop_confirmed = true;
--- a/src/libs/jobs/scheduler_reservations.cc
+++ b/src/libs/jobs/scheduler_reservations.cc
@@ -27,27 +27,29 @@
 void Scheduler::PlanEvacuations(const std::vector<Vm*>& vms, Millis now,
                                 std::vector<RunCommand>& commands) {
   int moving = 0;
-  std::vector<RunKey> to_evacuate;
+  std::vector<std::pair<const Vm*, RunKey>> to_evacuate;
   for (const Vm* vm : vms) {
     if (!vm->listing.draining || !vm->reachable) continue;
     for (const auto& [key, run] : vm->Runs()) {
       if (!run.long_running) continue;
       Job* job = FindJob(key.first.job);
       Task* task = job ? job->Find(key.first) : nullptr;
-      const Run* known = task ? task->FindRun(key.second) : nullptr;
+      const Run* known =
+          task ? task->FindRun(key.second, vm->listing.id) : nullptr;
       if (!known) continue;
       if (known->phase == RunPhase::kStopping) ++moving;
-      if (known->phase == RunPhase::kRunning) to_evacuate.push_back(key);
+      if (known->phase == RunPhase::kRunning) to_evacuate.emplace_back(vm, key);
     }
   }
-  for (const RunKey& key : to_evacuate) {
+  for (const auto& [vm, key] : to_evacuate) {
     if (moving >= settings_.max_concurrent_evacuations) return;
-    if (Evacuate(key, vms, now, commands)) ++moving;
+    if (Evacuate(*vm, key, vms, now, commands)) ++moving;
   }
 }
 
-bool Scheduler::Evacuate(const RunKey& key, const std::vector<Vm*>& vms,
-                         Millis now, std::vector<RunCommand>& commands) {
+bool Scheduler::Evacuate(const Vm& from, const RunKey& key,
+                         const std::vector<Vm*>& vms, Millis now,
+                         std::vector<RunCommand>& commands) {
   Job& job = *FindJob(key.first.job);
   if (IsFinal(job.record.status) || !CanStartRuns(job)) return false;
   Occurrence& occurrence = *job.FindOccurrence(key.first.occurrence);
@@ -61,9 +63,8 @@
     ReserveCapacityFor(key.first, spec, job.record.service, vms, now);
     return false;
   }
-  if (!IssueStop(key.first, *task.FindRun(key.second), now, commands)) {
-    return false;
-  }
+  Run& run = *task.FindRun(key.second, from.listing.id);
+  if (!IssueStop(key.first, run, now, commands)) return false;
   // Reserves the place until the stopped run has ended.
   place.vm->reservation =
       Reservation{key.first, spec.Charge(),
--- a/tests/auto/jobs/scheduler_fixture.cc
+++ b/tests/auto/jobs/scheduler_fixture.cc
@@ -62,6 +62,11 @@
 
 void SchedulerFixture::Flush() {
   const JournalBatch batch = scheduler.TakeBatch(wall_ms);
+  Write(batch);
+  scheduler.OnDurable(batch);
+}
+
+void SchedulerFixture::Write(const JournalBatch& batch) {
   for (const JournalEntry& entry : batch.entries) {
     if (entry.value.empty()) {
       journal.erase(entry.key);
@@ -69,7 +74,6 @@
       journal[entry.key] = entry.value;
     }
   }
-  scheduler.OnDurable(batch);
 }
 
 std::vector<RunCommand> SchedulerFixture::Plan() {
--- a/tests/auto/jobs/scheduler_fixture.h
+++ b/tests/auto/jobs/scheduler_fixture.h
@@ -28,6 +28,8 @@
   void Accept(const std::string& id, JobSpec spec);
   /// Writes the pending batch to `journal` and reports it as durable.
   void Flush();
+  /// Writes a batch, of any owner, to `journal`.
+  void Write(const JournalBatch& batch);
   /// Returns the commands of a plan at `now`.
   std::vector<RunCommand> Plan();
   /// Like Plan, but also confirms each command immediately.
--- a/tests/auto/jobs/successor_test.cc
+++ b/tests/auto/jobs/successor_test.cc
@@ -158,3 +158,36 @@
     CHECK(entry.key != "vleaving");
   }
 }
+
+/// The first owner starts run 1 on "a", which is recorded, and run 2 on "b",
+/// which is not. The second owner finds run 2 and records both. The run ends
+/// under the third.
+TEST_CASE("the end of a run counts beside an older run of the task") {
+  SchedulerFixture fixture;
+  fixture.AddVm("a");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  REQUIRE(CountStarts(fixture.PlanAndConfirm()) == 1);
+  fixture.Flush();
+  fixture.AddVm("b");
+
+  const std::unique_ptr<Scheduler> second =
+      fixture.TakeOver(kFirstRunOfSuccessor);
+  VmReport with_run = EmptyReport(fixture.now);
+  with_run.running = {{kTask, 2, "", 50, 0}};
+  second->OnReport("b", with_run, fixture.now, fixture.now);
+  fixture.Write(second->TakeBatch(fixture.wall_ms));
+
+  const std::unique_ptr<Scheduler> third =
+      fixture.TakeOver(2 * kFirstRunOfSuccessor);
+  VmReport with_end = EmptyReport(fixture.now);
+  with_end.ended = {fixture.MakeEnd(1, kTask, 2, RunEnd::kDone)};
+  third->OnReport("b", with_end, fixture.now, fixture.now);
+  fixture.now = fixture.now + Millis(2'000);
+  third->OnReport("a", EmptyReport(fixture.now), fixture.now, fixture.now);
+  fixture.now = fixture.now + Millis(2'000);
+  third->OnReport("a", EmptyReport(fixture.now), fixture.now, fixture.now);
+  third->OnReport("b", EmptyReport(fixture.now), fixture.now, fixture.now);
+  CHECK(CountStarts(third->Plan(fixture.wall_ms, fixture.now)) == 0);
+  third->OnDurable(third->TakeBatch(fixture.wall_ms));
+  CHECK(third->VisibleStateOf(kJob) == VisibleJobState::kDone);
+}
