--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -143,7 +143,10 @@
   Stream stream = std::move(ValueOf(connected));
   Result<HttpResponse> result =
       co_await d->Exchange(*stream, address, request, timeout, &keep_alive);
-  if (IsOk(result) && keep_alive) d->PutIdle(address, std::move(stream));
+  if (IsOk(result)) {
+    ValueOf(result).is_to_second_copy = idle_error.has_value();
+    if (keep_alive) d->PutIdle(address, std::move(stream));
+  }
   co_return result;
 }
 
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -14,7 +14,9 @@
 /// An HTTP/1.1 client for control messages, with a pool of idle connections to
 /// each peer. It is only for requests that may be repeated: if a request
 /// on an idle connection fails other than by a time-out, because the peer may
-/// have closed that connection, it is sent a second time on a new one.
+/// have closed that connection, it is sent a second time on a new one. The
+/// response then says so: a refusal of the second copy does not show what
+/// became of the first.
 ///
 /// Thread safety: only from the thread that runs its io_context.
 class HttpClient {
--- a/src/libs/net/http_message.h
+++ b/src/libs/net/http_message.h
@@ -20,6 +20,9 @@
   std::string content_type = "application/octet-stream";
   std::map<std::string, std::string> headers;
   std::string body;
+  /// Set by HttpClient: the response is to the second copy of the request. The
+  /// peer may have processed the first one, or may still do so.
+  bool is_to_second_copy = false;
 };
 
 }  // namespace basilspur::net
--- /dev/null
+++ b/tests/auto/platform/executor_client_test.cc
@@ -0,0 +1,66 @@
+#include "executor_client.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+
+using namespace basilspur;  // NOLINT(google-build-using-namespace)
+namespace asio = basilspur::net::asio;
+using Tcp = asio::ip::tcp;
+
+static constexpr char kStarted[] =
+    "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"clock_ms\":1}";
+static constexpr char kUnhealthy[] =
+    "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
+static asio::awaitable<void> ReadRequest(Tcp::socket& socket) {
+  std::string text;
+  co_await asio::async_read_until(socket, asio::dynamic_buffer(text),
+                                  "\r\n\r\n", asio::use_awaitable);
+}
+
+static asio::awaitable<void> Respond(Tcp::socket& socket, const char* answer) {
+  co_await ReadRequest(socket);
+  co_await asio::async_write(socket, asio::buffer(std::string(answer)),
+                             asio::use_awaitable);
+}
+
+/// Confirms a start, breaks the connection instead of answering the next one,
+/// and refuses the one after that.
+static asio::awaitable<void> ConfirmBreakRefuse(Tcp::acceptor& acceptor) {
+  Tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+  co_await Respond(socket, kStarted);
+  co_await ReadRequest(socket);
+  socket.close();
+  Tcp::socket next = co_await acceptor.async_accept(asio::use_awaitable);
+  co_await Respond(next, kUnhealthy);
+}
+
+TEST_CASE(
+    "a refused repetition of a start does not show that nothing was started") {
+  asio::io_context context;
+  Tcp::acceptor acceptor(context,
+                         Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  asio::co_spawn(context, ConfirmBreakRefuse(acceptor), asio::detached);
+  jobs::VmListing vm;
+  vm.id = "vm";
+  vm.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  std::optional<cell::CommandAnswer> first;
+  std::optional<cell::CommandAnswer> second;
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        adapter::ExecutorClient client(context);
+        const jobs::RunCommand start;
+        first = co_await client.Send(vm, start, 1, 5'000);
+        second = co_await client.Send(vm, start, 1, 5'000);
+      },
+      asio::detached);
+  context.run();
+  REQUIRE(first);
+  CHECK(first->outcome == jobs::RunCommandOutcome::kDone);
+  REQUIRE(second);
+  CHECK(second->outcome == jobs::RunCommandOutcome::kUnknown);
+}
