Check the ownership's age before each call to a VM

What callers saw: TWICE, two runs at once, is possible.

Cause: successors take an owner to stop 12 s after it last confirmed its ownership (max_inherited_lease: 12 s and a lease of 5 s with its drift). But only CellMember::Tick() checked that, each 100 ms. An entry that thaws handles expired timers and answers in any order, so before that tick it extended leases and sent starts, whatever its age. A VM that the successor does not reach then ran on after its lease was taken to be over.

Fix: RenewOnce() and SendCommand() ask the election, with the clock read at that moment, and end the ownership if it has expired. The deadlines that they send are absolute, so a later freeze adds nothing. Sums for the worst case: 12 s + (5 s + 2% of an age of 12 s) / 0.98 = 17.35 s < 17.5 s.

The two functions that a member hands to its owner become a struct of three.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -96,7 +96,6 @@
   if (owner_ || !election_.Owns() || leaving_ || yielding_) return;
   owner_token_ = election_.Token();
   load_published_ = false;
-  const auto self = shared_from_this();
   CellOwner::Ownership ownership;
   ownership.cell = cell_;
   ownership.token = election_.Token();
@@ -104,16 +103,7 @@
   ownership.handed_over = election_.WasHandedOver();
   ownership.journal_complete = election_.HasCompleteJournal();
   ownership.unreachable_vms = unreachable_vms_;
-  owner_ = callbacks_.make_owner(
-      ownership,
-      [self] {
-        return self->election_.IsAuthoritative(self->clock_.Monotonic());
-      },
-      [self, token = owner_token_] {
-        if (self->owner_token_ != token) return;
-        self->election_.StepDown();
-        self->StopOwner();
-      });
+  owner_ = callbacks_.make_owner(ownership, MakeStanding());
   net::asio::co_spawn(context_, owner_->TakeOver(), [](auto, bool) {});
   for (const FormerOwner& former : election_.FormerOwners()) {
     net::asio::co_spawn(context_, RequestStepDown(former, owner_token_),
@@ -121,6 +111,24 @@
   }
 }
 
+CellOwner::Standing CellMember::MakeStanding() {
+  const auto self = shared_from_this();
+  CellOwner::Standing standing;
+  standing.is_authoritative = [self] {
+    return self->election_.IsAuthoritative(self->clock_.Monotonic());
+  };
+  standing.may_act = [self, token = owner_token_] {
+    return self->owner_token_ == token && self->election_.Token() == token &&
+           !self->election_.IsExpired(self->clock_.Monotonic());
+  };
+  standing.on_ended = [self, token = owner_token_] {
+    if (self->owner_token_ != token) return;
+    self->election_.StepDown();
+    self->StopOwner();
+  };
+  return standing;
+}
+
 net::asio::awaitable<void> CellMember::RequestStepDown(FormerOwner former,
                                                        std::int64_t token) {
   const auto self = shared_from_this();
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -27,9 +27,8 @@
   struct Callbacks {
     /// Creates the owner for an ownership that has begun, initialized with the
     /// current catalog and VM list.
-    std::function<std::shared_ptr<CellOwner>(
-        CellOwner::Ownership ownership, std::function<bool()> is_authoritative,
-        std::function<void()> on_fenced)>
+    std::function<std::shared_ptr<CellOwner>(CellOwner::Ownership ownership,
+                                             CellOwner::Standing standing)>
         make_owner;
     /// Sends a request to the entry at an address.
     std::function<net::asio::awaitable<JobReply>(
@@ -84,6 +83,7 @@
   /// not confirmed. If this node still owns the cell, the ownership counts as
   /// confirmed at `sent`, but not as renewed.
   net::asio::awaitable<void> RereadPartition(Millis sent);
+  CellOwner::Standing MakeStanding();
   void StopOwner();
   /// Asks a former owner to step down until it confirms or `token` has ended.
   net::asio::awaitable<void> RequestStepDown(FormerOwner former,
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -21,9 +21,7 @@
 CellOwner::CellOwner(net::asio::io_context& context, Store& store,
                      VmClient& vms, const Clock& clock,
                      CellOwnerSettings settings, Ownership ownership,
-                     Callbacks callbacks,
-                     std::function<bool()> is_authoritative,
-                     std::function<void()> on_fenced)
+                     Callbacks callbacks, Standing standing)
     : context_(context),
       store_(store),
       vm_client_(vms),
@@ -31,8 +29,7 @@
       settings_(settings),
       ownership_(ownership),
       callbacks_(std::move(callbacks)),
-      is_authoritative_(std::move(is_authoritative)),
-      on_fenced_(std::move(on_fenced)),
+      standing_(std::move(standing)),
       scheduler_(settings.scheduler),
       journal_{"keyed.jobs", ownership.cell},
       batch_pending_(context),
@@ -58,7 +55,19 @@
       "this ownership\"" +
       LogFields());
   Stop();
-  on_fenced_();
+  standing_.on_ended();
+}
+
+bool CellOwner::CheckMayAct() {
+  if (stopped_) return false;
+  if (standing_.may_act()) return true;
+  kLog.Warning(
+      "event=owner_expired reason=\"the ownership was not confirmed in time; "
+      "sending nothing more to VMs\"" +
+      LogFields());
+  Stop();
+  standing_.on_ended();
+  return false;
 }
 
 net::asio::awaitable<bool> CellOwner::TakeOver() {
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -76,14 +76,24 @@
         forward_request;
   };
 
-  /// `is_authoritative` returns whether this ownership was confirmed recently
-  /// enough to report that a job does not exist. `on_fenced` is called when the
-  /// store or a VM has rejected this owner's fencing token as outdated.
+  /// Connects the owner with the election of its cell.
+  struct Standing {
+    /// Returns whether this ownership was renewed recently enough to report
+    /// that a job does not exist.
+    std::function<bool()> is_authoritative;
+    /// Returns whether this ownership was confirmed recently enough to send
+    /// commands and renewals to VMs: successors count on its leases being over
+    /// by a time.
+    std::function<bool()> may_act;
+    /// Called when the owner has stopped itself, because `may_act` returned
+    /// false, or the store or a VM has rejected its fencing token as outdated.
+    std::function<void()> on_ended;
+  };
+
   /// Precondition: the references outlive the object.
   CellOwner(net::asio::io_context& context, Store& store, VmClient& vms,
             const Clock& clock, CellOwnerSettings settings, Ownership ownership,
-            Callbacks callbacks, std::function<bool()> is_authoritative,
-            std::function<void()> on_fenced);
+            Callbacks callbacks, Standing standing);
 
   /// Fences earlier owners off the journal, restores the cell's state from it
   /// and starts scheduling. Returns false if a later owner has fenced this one,
@@ -150,6 +160,9 @@
   void SchedulePlan();
   void RunPlan();
   void HandleFenced();
+  /// Returns whether a call may be sent to a VM now. Stops the owner if its
+  /// ownership has expired.
+  bool CheckMayAct();
   /// The cell and the fencing token as log fields, with a leading space.
   std::string LogFields() const;
   Millis Now() const { return clock_.Monotonic(); }
@@ -161,8 +174,7 @@
   CellOwnerSettings settings_;
   Ownership ownership_;
   Callbacks callbacks_;
-  std::function<bool()> is_authoritative_;
-  std::function<void()> on_fenced_;
+  Standing standing_;
   jobs::Scheduler scheduler_;
   jobs::Catalog catalog_;
   Partition journal_;
--- a/src/libs/cell/cell_owner_requests.cc
+++ b/src/libs/cell/cell_owner_requests.cc
@@ -23,7 +23,8 @@
     case RequestKind::kStepDown:
       break;
     case RequestKind::kCount:
-      if (!is_authoritative_()) co_return JobReply{ReplyKind::kNotOwner};
+      if (!standing_.is_authoritative())
+        co_return JobReply{ReplyKind::kNotOwner};
       co_return JobReply{ReplyKind::kCount,
                          scheduler_.PendingJobs(request.queue)};
   }
@@ -104,8 +105,9 @@
 
 net::asio::awaitable<JobReply> CellOwner::Cancel(const JobRequest& request) {
   if (!scheduler_.HasJob(request.job)) {
-    co_return JobReply{
-        is_authoritative_() ? ReplyKind::kNoSuchJob : ReplyKind::kNotOwner, 0};
+    co_return JobReply{standing_.is_authoritative() ? ReplyKind::kNoSuchJob
+                                                    : ReplyKind::kNotOwner,
+                       0};
   }
   scheduler_.Cancel(request.job, clock_.Wall().count);
   SchedulePlan();
@@ -122,7 +124,8 @@
   const std::optional<jobs::VisibleJobState> state =
       scheduler_.VisibleStateOf(job);
   if (!state) {
-    return {is_authoritative_() ? ReplyKind::kNoSuchJob : ReplyKind::kNotOwner};
+    return {standing_.is_authoritative() ? ReplyKind::kNoSuchJob
+                                         : ReplyKind::kNotOwner};
   }
   switch (*state) {
     case jobs::VisibleJobState::kQueued:
--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -11,7 +11,8 @@
 net::asio::awaitable<void> CellOwner::SendCommand(jobs::RunCommand command) {
   const auto self = shared_from_this();
   const std::optional<jobs::VmListing> vm = scheduler_.Listing(command.vm);
-  if (!vm || stopped_) co_return;
+  // The owner may have been frozen since the command was planned.
+  if (!vm || !CheckMayAct()) co_return;
   const Millis sent = Now();
   const std::int64_t deadline = scheduler_.NextDeadline(command.vm, sent);
   if (command.kind == jobs::RunCommandKind::kStart && deadline == 0) {
@@ -81,6 +82,7 @@
 }
 
 net::asio::awaitable<bool> CellOwner::RenewOnce(const jobs::VmListing& vm) {
+  if (!CheckMayAct()) co_return false;
   const Millis sent = Now();
   Renewal renewal;
   renewal.fencing_token = ownership_.token;
--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -70,10 +70,8 @@
 CellMember::Callbacks Node::MakeMemberCallbacks(int cell) {
   CellMember::Callbacks callbacks;
   callbacks.make_owner = [this](CellOwner::Ownership ownership,
-                                std::function<bool()> is_authoritative,
-                                std::function<void()> on_fenced) {
-    return MakeOwner(ownership, std::move(is_authoritative),
-                     std::move(on_fenced));
+                                CellOwner::Standing standing) {
+    return MakeOwner(ownership, std::move(standing));
   };
   callbacks.call_peer = [this](std::string address, JobRequest request,
                                Millis timeout) {
@@ -88,9 +86,8 @@
   return callbacks;
 }
 
-std::shared_ptr<CellOwner> Node::MakeOwner(
-    CellOwner::Ownership ownership, std::function<bool()> is_authoritative,
-    std::function<void()> on_fenced) {
+std::shared_ptr<CellOwner> Node::MakeOwner(CellOwner::Ownership ownership,
+                                           CellOwner::Standing standing) {
   StartDirectory();
   CellOwner::Callbacks callbacks;
   callbacks.choose_cell = [this](int home_cell, const std::string& job,
@@ -102,7 +99,7 @@
   };
   auto owner = std::make_shared<CellOwner>(
       context_, store_, vm_client_, clock_, settings_.owner, ownership,
-      std::move(callbacks), std::move(is_authoritative), std::move(on_fenced));
+      std::move(callbacks), std::move(standing));
   owner->OnCatalog(catalog_);
   InitializeTails(*owner, ownership.cell);
   for (const auto& [id, listing] : vms_) {
--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -89,8 +89,7 @@
   /// Yields one cell if ticks show that the processor is overloaded.
   void CheckLag(Millis took);
   std::shared_ptr<CellOwner> MakeOwner(CellOwner::Ownership ownership,
-                                       std::function<bool()> is_authoritative,
-                                       std::function<void()> on_fenced);
+                                       CellOwner::Standing standing);
 
   net::asio::io_context& context_;
   Store& store_;
--- a/tests/auto/cell/cell_member_fixture.cc
+++ b/tests/auto/cell/cell_member_fixture.cc
@@ -13,6 +13,7 @@
   renewals.push_back(renewal);
   // A renewal is a long poll.
   co_await net::Sleep(Millis(1));
+  if (before_answer) before_answer();
   const auto report = reports.find(vm.id);
   if (report == reports.end()) co_return RenewalFailure::kNoAnswer;
   co_return report->second;
@@ -29,16 +30,14 @@
 CellMemberFixture::CellMemberFixture() {
   CellMember::Callbacks callbacks;
   callbacks.make_owner = [this](const CellOwner::Ownership& ownership,
-                                std::function<bool()> is_authoritative,
-                                std::function<void()> on_fenced) {
+                                CellOwner::Standing standing) {
     ownerships.push_back(ownership);
     CellOwner::Callbacks owner_callbacks;
     owner_callbacks.choose_cell = [](int home, const std::string&,
                                      const jobs::JobSpec&) { return home; };
     auto owner = std::make_shared<CellOwner>(
         context, store, vms, clock, CellOwnerSettings{}, ownership,
-        std::move(owner_callbacks), std::move(is_authoritative),
-        std::move(on_fenced));
+        std::move(owner_callbacks), std::move(standing));
     for (const jobs::VmListing& listing : listings) owner->OnVmListed(listing);
     return owner;
   };
--- a/tests/auto/cell/cell_member_fixture.h
+++ b/tests/auto/cell/cell_member_fixture.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_AUTO_CELL_CELL_MEMBER_FIXTURE_H_
 #define TESTS_AUTO_CELL_CELL_MEMBER_FIXTURE_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,6 +26,8 @@
 
   std::vector<Renewal> renewals;
   std::vector<jobs::RunCommand> commands;
+  /// Called before each answer to a renewal.
+  std::function<void()> before_answer;
   /// The reports of VMs that answer renewals.
   std::map<std::string, jobs::VmReport> reports;
 };
--- a/tests/auto/cell/cell_owner_test.cc
+++ b/tests/auto/cell/cell_owner_test.cc
@@ -7,6 +7,7 @@
 using namespace basilspur;        // NOLINT(google-build-using-namespace)
 using namespace basilspur::cell;  // NOLINT(google-build-using-namespace)
 
+static const ElectionSettings kSettings;
 static const std::string kJob(16, 'a');
 
 /// Makes the entry the second owner of the cell.
@@ -34,3 +35,20 @@
   REQUIRE(fixture.vms.renewals.size() > 2);
   CHECK(fixture.vms.commands.empty());
 }
+
+TEST_CASE("an owner that thaws after its expiry sends nothing to VMs") {
+  CellMemberFixture fixture;
+  fixture.AddVm("vm");
+  fixture.AddJournaledJob(kJob, 0, "");
+  // The entry is frozen while the answer to its first renewal is on its way.
+  fixture.vms.before_answer = [&] {
+    if (fixture.vms.renewals.size() > 1) return;
+    fixture.clock.Advance(kSettings.expiry + Millis(1));
+  };
+  fixture.BecomeOwner();
+  // Timers and answers are handled before the member's next tick.
+  fixture.PumpFor(Millis(50));
+  CHECK(fixture.vms.renewals.size() == 1);
+  CHECK(fixture.vms.commands.empty());
+  CHECK(!fixture.member->Owns());
+}
