Grant no longer lease after a VM's clock was read long ago

What callers saw: nothing known; TWICE is possible by some 0.1 s.

Cause: the deadline of a lease is the VM's clock as last read, plus the time since then on the owner's clock, plus 5 s. A VM's clock may be 2% slow, so after a freeze of 12 s the lease lasted (5 s + 0.24 s) / 0.98 = 5.35 s, and successors count on 5.25 s once the owner has confirmed to have stopped.

Fix: the time since the reading counts by the slowest clock. The lease then lasts 5.1 s at most; on an exact clock it is 2% of the clock's age shorter, 60 ms at the longest renewal.

--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -24,7 +24,11 @@
 
 std::optional<std::int64_t> Vm::LeaseDeadline(Millis lease, Millis now) const {
   if (!clock_known_) return std::nullopt;
-  return clock_ms_ + (now - clock_at_ + lease).count;
+  // Successors allow for a slow clock during the lease only, and not since the
+  // clock was read.
+  const std::int64_t elapsed =
+      (now - clock_at_).count * (100 - kMaxClockDriftPercent) / 100;
+  return clock_ms_ + elapsed + lease.count;
 }
 
 void Vm::BoundInheritedLease(Millis lease_expiry) {
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -71,7 +71,8 @@
   /// leased the VM.
   Vm(VmListing listing, Millis lease_expiry);
 
-  /// Returns the deadline, on the VM's clock, of a lease that begins now. Empty
+  /// Returns the deadline, on the VM's clock, of a lease that begins now, if
+  /// that clock is as slow as it may be; a little earlier otherwise. Empty
   /// before the first report.
   std::optional<std::int64_t> LeaseDeadline(Millis lease, Millis now) const;
   /// Sets an upper bound for the expiry of leases of earlier owners, unless an
--- a/tests/auto/jobs/unreachable_vms_test.cc
+++ b/tests/auto/jobs/unreachable_vms_test.cc
@@ -122,3 +122,20 @@
   owner->Plan(fixture.wall_ms, fixture.now);
   CHECK(owner->HasCompleteRunState());
 }
+
+TEST_CASE("a lease on a slow clock is over when successors count on it") {
+  // The VM's clock was read long ago, for example before a freeze.
+  const Millis age = GENERATE(Millis(0), Millis(3'000), Millis(12'000));
+  const SchedulerSettings settings;
+  const Millis read_at(1'000'000);
+  const Millis granted_at = read_at + age;
+  static constexpr std::int64_t kClockMs = 50'000;
+  static constexpr std::int64_t kSpeedPercent = 98;
+  Vm vm(VmListing{}, Millis(0));
+  vm.UpdateClock(kClockMs, read_at, read_at);
+  const auto deadline = vm.LeaseDeadline(settings.lease_duration, granted_at);
+  REQUIRE(deadline);
+  const std::int64_t clock_ms = kClockMs + age.count * kSpeedPercent / 100;
+  const Millis lasts((*deadline - clock_ms) * 100 / kSpeedPercent);
+  CHECK(lasts <= settings.lease_duration + settings.lease_clock_drift);
+}
