Keep runs whose ends a VM could not list yet

What callers saw: TWICE (a start after `done`) is possible.

While the store is away, work goes on, and a VM that ends some 35 runs a second fills the list in 15 s. A run that ended after that is in neither list of the report. The scheduler took it for stopped after 1.1 s and started the task again; the end `done` that was listed later found no run and was dropped. A new owner likewise counted such a VM as known.

Fix: the report says that there may be more ends (500 rows, which the adapter knows). Then no run counts as absent, and the VM is not reconciled.

--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -50,11 +50,14 @@
   }
   for (const RunningRunReport& row : report.running)
     ProcessRunningRun(*vm, row, now);
-  ReleaseAbsentRuns(*vm, report, sent);
+  // A run in neither list may have ended nevertheless if an end is not listed.
+  if (!report.may_have_more_ends) {
+    ReleaseAbsentRuns(*vm, report, sent);
+    vm->reconciled = true;
+  }
   tails_.Observe(*vm, now);
   vm->reachable = true;
   vm->lease_expired = false;
-  vm->reconciled = true;
 }
 
 bool Scheduler::IsUnjournaledRun(const Job* job, const Task* task,
--- a/src/libs/jobs/vm_report.h
+++ b/src/libs/jobs/vm_report.h
@@ -49,6 +49,9 @@
   std::int64_t clock_ms = 0;  ///< Time on the VM's monotonic clock.
   std::vector<RunningRunReport> running;
   std::vector<EndedRunReport> ended;
+  /// There may be more ends than `ended` lists: the rest follows once these are
+  /// acknowledged.
+  bool may_have_more_ends = false;
 };
 
 }  // namespace basilspur::jobs
--- a/tests/auto/jobs/unreachable_vms_test.cc
+++ b/tests/auto/jobs/unreachable_vms_test.cc
@@ -139,3 +139,29 @@
   const Millis lasts((*deadline - clock_ms) * 100 / kSpeedPercent);
   CHECK(lasts <= settings.lease_duration + settings.lease_clock_drift);
 }
+
+TEST_CASE("a run whose end a VM could not list yet is not started again") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  REQUIRE(fixture.PlanAndConfirm().size() == 1);
+  const bool new_owner = GENERATE(false, true);
+  if (new_owner) fixture.Flush();
+  const std::unique_ptr<Scheduler> next = fixture.TakeOver(17);
+  Scheduler& owner = new_owner ? *next : fixture.scheduler;
+  VmReport report;
+  // The store is away, so no end is acknowledged, and the list is full.
+  report.ended = {fixture.MakeEnd(1, {"other", 0, 0, 0}, 1, RunEnd::kDone)};
+  report.may_have_more_ends = true;
+  for (int i = 0; i < 20; ++i) {
+    fixture.now = fixture.now + kTick;
+    report.clock_ms = fixture.now.count;
+    owner.OnReport("vm", report, fixture.now, fixture.now);
+    CHECK(owner.Plan(fixture.wall_ms, fixture.now).empty());
+  }
+  report.ended = {fixture.MakeEnd(2, {kJob, 0, 0, 0}, 1, RunEnd::kDone)};
+  report.may_have_more_ends = false;
+  owner.OnReport("vm", report, fixture.now, fixture.now);
+  owner.OnDurable(owner.TakeBatch(fixture.wall_ms));
+  CHECK(owner.VisibleStateOf(kJob) == VisibleJobState::kDone);
+}
--- a/tests/auto/platform/wire_test.cc
+++ b/tests/auto/platform/wire_test.cc
@@ -137,3 +137,17 @@
   CHECK(outcome(429, "") == jobs::RunCommandOutcome::kRefused);
   CHECK(outcome(400, "no JSON") == jobs::RunCommandOutcome::kRefused);
 }
+
+TEST_CASE("a full list of run ends says that there may be more") {
+  const int count = GENERATE(499, 500);
+  std::string ends;
+  for (int number = 1; number <= count; ++number) {
+    if (number > 1) ends += ",";
+    ends += "[" + std::to_string(number) +
+            R"(,"5c0e7a21d94b36f8.0.0.0",1,"done",""])";
+  }
+  const auto report = DecodeVmReport(
+      R"({"clock_ms":1,"running":[],"finished":[)" + ends + "]}");
+  REQUIRE(IsOk(report));
+  CHECK(ValueOf(report).may_have_more_ends == (count == 500));
+}
