--- a/tests/auto/jobs/unreachable_vms_test.cc
+++ b/tests/auto/jobs/unreachable_vms_test.cc
@@ -122,3 +122,46 @@
   owner->Plan(fixture.wall_ms, fixture.now);
   CHECK(owner->HasCompleteRunState());
 }
+
+TEST_CASE("a lease on a slow clock is over when successors count on it") {
+  // The VM's clock was read long ago, for example before a freeze.
+  const Millis age = GENERATE(Millis(0), Millis(3'000), Millis(12'000));
+  const SchedulerSettings settings;
+  const Millis read_at(1'000'000);
+  const Millis granted_at = read_at + age;
+  static constexpr std::int64_t kClockMs = 50'000;
+  static constexpr std::int64_t kSpeedPercent = 98;
+  Vm vm(VmListing{});
+  vm.UpdateClock(kClockMs, read_at, read_at);
+  const auto deadline = vm.LeaseDeadline(settings.lease_duration, granted_at);
+  REQUIRE(deadline);
+  const std::int64_t clock_ms = kClockMs + age.count * kSpeedPercent / 100;
+  const Millis lasts((*deadline - clock_ms) * 100 / kSpeedPercent);
+  CHECK(lasts <= settings.lease_duration + settings.lease_clock_drift);
+}
+
+TEST_CASE("a run whose end a VM could not list yet is not started again") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  REQUIRE(fixture.PlanAndConfirm().size() == 1);
+  const bool new_owner = GENERATE(false, true);
+  if (new_owner) fixture.Flush();
+  const std::unique_ptr<Scheduler> next = fixture.TakeOver(17);
+  Scheduler& owner = new_owner ? *next : fixture.scheduler;
+  VmReport report;
+  // The store is away, so no end is acknowledged, and the list is full.
+  report.ended = {fixture.MakeEnd(1, {"other", 0, 0, 0}, 1, RunEnd::kDone)};
+  report.may_have_more_ends = true;
+  for (int i = 0; i < 20; ++i) {
+    fixture.now = fixture.now + kTick;
+    report.clock_ms = fixture.now.count;
+    owner.OnReport("vm", report, fixture.now, fixture.now);
+    CHECK(owner.Plan(fixture.wall_ms, fixture.now).empty());
+  }
+  report.ended = {fixture.MakeEnd(2, {kJob, 0, 0, 0}, 1, RunEnd::kDone)};
+  report.may_have_more_ends = false;
+  owner.OnReport("vm", report, fixture.now, fixture.now);
+  owner.OnDurable(owner.TakeBatch(fixture.wall_ms));
+  CHECK(owner.VisibleStateOf(kJob) == VisibleJobState::kDone);
+}
