Log why the longest waiting tasks have no place

Beside cell_state, an owner now writes task_waiting for the longest waiting best-effort task and the longest waiting other one: the VMs by the first rule that excludes them, the highest pace that the tails allow, the job's tier, whether it may start, and since when nothing of it runs.

The placer decides and explains by the same function, so the two cannot differ. The counting runs every 2 s only.

--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <string_view>
 #include <utility>
 
 #include "base/logging.h"
@@ -130,6 +131,45 @@
       " free_cpu_millis=" + std::to_string(summary.free_cpu_millis) +
       " unreachable_vms=" + std::to_string(summary.unreachable_vms) +
       " oldest_wait_ms=" + std::to_string(summary.oldest_wait.count));
+  LogOldestWaitingTask(/*best_effort=*/true);
+  LogOldestWaitingTask(/*best_effort=*/false);
+}
+
+static std::string_view NameOf(jobs::JobTier tier) {
+  switch (tier) {
+    case jobs::JobTier::kStarted:
+      return "started";
+    case jobs::JobTier::kOnTime:
+      return "on_time";
+    case jobs::JobTier::kDeferredStarted:
+      return "deferred_started";
+    case jobs::JobTier::kDeferred:
+      return "deferred";
+  }
+  return "";
+}
+
+void CellOwner::LogOldestWaitingTask(bool best_effort) const {
+  const auto waiting = scheduler_.OldestWaitingTask(best_effort, Now());
+  if (!waiting) return;
+  const jobs::PlacementOptions& options = waiting->options;
+  std::string refused;
+  for (std::size_t i = 0; i < options.refused.size(); ++i) {
+    if (options.refused[i] == 0) continue;
+    refused += " refused_" + std::string(jobs::kPlacementRefusalNames[i]) +
+               "=" + std::to_string(options.refused[i]);
+  }
+  kLog.Info("event=task_waiting job=" + waiting->task.job +
+            " task=" + waiting->task.ToString() + LogFields() +
+            " best_effort=" + std::to_string(best_effort ? 1 : 0) +
+            " age_ms=" + std::to_string(waiting->age.count) +
+            " idle_ms=" + std::to_string(waiting->idle.count) +
+            " tier=" + std::string(NameOf(waiting->tier)) +
+            " may_start=" + std::to_string(waiting->may_start ? 1 : 0) +
+            " vms=" + std::to_string(options.vms) +
+            " open_vms=" + std::to_string(options.open_vms) +
+            " max_pace_percent=" + std::to_string(options.max_pace_percent) +
+            refused);
 }
 
 void CellOwner::RestoreTails(const jobs::TailRecord& record) {
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -34,7 +34,7 @@
   /// The same for a VM whose tail latencies are watched, because it runs
   /// best-effort tasks beside tasks with a latency target.
   Millis mixed_renewal_wait{500};
-  /// Interval of the "cell_state" log line.
+  /// Interval of the "cell_state" and "task_waiting" log lines.
   Millis summary_log_interval{2'000};
   /// Pause before a renewal that was not answered is repeated.
   Millis renewal_retry_interval{150};
@@ -152,6 +152,8 @@
   void HandleFenced();
   /// The cell and the fencing token as log fields, with a leading space.
   std::string LogFields() const;
+  /// Logs why a task of the job that has waited longest has no place.
+  void LogOldestWaitingTask(bool best_effort) const;
   Millis Now() const { return clock_.Monotonic(); }
 
   net::asio::io_context& context_;
--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -1,5 +1,7 @@
 #include "jobs/job.h"
 
+#include <algorithm>
+
 namespace basilspur::jobs {
 
 Occurrence* Job::FindOccurrence(int number) {
@@ -75,6 +77,21 @@
   return false;
 }
 
+bool Job::HasActiveRuns() const {
+  const auto is_active = [](const Run& run) {
+    return run.phase != RunPhase::kStopping;
+  };
+  for (const Occurrence& occurrence : occurrences) {
+    for (const Step& step : occurrence.steps) {
+      for (const Task& task : step.tasks) {
+        if (std::any_of(task.runs.begin(), task.runs.end(), is_active))
+          return true;
+      }
+    }
+  }
+  return false;
+}
+
 ProgressRecord Job::MakeProgress() const {
   ProgressRecord progress;
   progress.finished_occurrences = finished_occurrences;
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -99,6 +99,9 @@
   bool has_progress_record = false;  ///< The journal has a progress record.
   Millis accepted_at;
   JobTier tier = JobTier::kOnTime;
+  /// Since when nothing of the job runs though a task waits; 0: something runs
+  /// or no task waits.
+  Millis idle_since;
 
   /// Precondition: the task is part of a present occurrence.
   Task& At(const TaskRef& task);
@@ -112,6 +115,8 @@
   /// Adds an occurrence whose tasks all wait.
   Occurrence& AddOccurrence(int number);
   bool HasRuns() const;
+  /// Whether the job has a run that is not being stopped.
+  bool HasActiveRuns() const;
   /// Calls `visit(ref, task, run)` for each run. `visit` must not add or remove
   /// runs.
   template <class Visit>
--- /dev/null
+++ b/src/libs/jobs/placement_refusal.h
@@ -0,0 +1,40 @@
+#ifndef BASILSPUR_JOBS_PLACEMENT_REFUSAL_H_
+#define BASILSPUR_JOBS_PLACEMENT_REFUSAL_H_
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace basilspur::jobs {
+
+/// The first rule that prevents a run of a task on a VM, in the order in which
+/// the rules are checked.
+enum class PlacementRefusal {
+  kUnlisted,        ///< The platform no longer lists the VM.
+  kUnreachable,     ///< It did not answer, or its lease has expired.
+  kLeaseBound,      ///< The owner record bounds its lease.
+  kDraining,        ///< It is about to be removed.
+  kOtherService,    ///< It belongs to another service.
+  kQuarantined,     ///< Runs failed on it one after another.
+  kMissingLabel,    ///< It lacks the label that the step requires.
+  kMemory,          ///< Too little free memory.
+  kCapacity,        ///< Too few free processors or other resources.
+  kUnusedCpu,       ///< Other best-effort runs use the processors left unused.
+  kReserved,        ///< Its capacity is reserved for another task.
+  kMaxPerVm,        ///< It has as many tasks of the step as the step allows.
+  kPredictedTails,  ///< A tail latency would come too close to its target.
+};
+
+inline constexpr std::size_t kPlacementRefusalCount = 13;
+
+/// Names as used in logs, by the value of PlacementRefusal.
+inline constexpr std::array<std::string_view, kPlacementRefusalCount>
+    kPlacementRefusalNames = {"unlisted",       "unreachable", "lease_bound",
+                              "draining",       "service",     "quarantined",
+                              "label",          "memory",      "capacity",
+                              "unused_cpu",     "reserved",    "max_per_vm",
+                              "predicted_tails"};
+
+}  // namespace basilspur::jobs
+
+#endif  // BASILSPUR_JOBS_PLACEMENT_REFUSAL_H_
--- a/src/libs/jobs/placer.cc
+++ b/src/libs/jobs/placer.cc
@@ -38,29 +38,26 @@
   return vm.Free().cpu_millis + idle - vm.BestEffortCpuMillis();
 }
 
-bool Placer::AcceptsRuns(const Vm& vm, const StepSpec& spec,
-                         const std::string& service, Millis now) {
-  if (!vm.listed || !vm.reachable || vm.lease_expired) return false;
-  if (vm.lease_bound_recorded) return false;
-  if (vm.listing.draining || vm.listing.service != service) return false;
-  if (now < vm.quarantined_until) return false;
-  return spec.required_label.empty() ||
-         vm.listing.HasLabel(spec.required_label);
-}
-
-bool Placer::IsEligible(const Vm& vm, const StepSpec& spec,
-                        const std::string& service, Millis now) const {
-  if (!AcceptsRuns(vm, spec, service, now)) return false;
-  if (!spec.Charge().FitsIn(vm.Free())) return false;
-  if (!spec.best_effort) return true;
-  return UnusedCpuMillis(vm) >= spec.need.cpu_millis;
+std::optional<PlacementRefusal> Placer::GeneralRefusal(
+    const Vm& vm, const StepSpec& spec, const std::string& service,
+    Millis now) {
+  if (!vm.listed) return PlacementRefusal::kUnlisted;
+  if (!vm.reachable || vm.lease_expired) return PlacementRefusal::kUnreachable;
+  if (vm.lease_bound_recorded) return PlacementRefusal::kLeaseBound;
+  if (vm.listing.draining) return PlacementRefusal::kDraining;
+  if (vm.listing.service != service) return PlacementRefusal::kOtherService;
+  if (now < vm.quarantined_until) return PlacementRefusal::kQuarantined;
+  const bool has_label =
+      spec.required_label.empty() || vm.listing.HasLabel(spec.required_label);
+  if (!has_label) return PlacementRefusal::kMissingLabel;
+  return std::nullopt;
 }
 
 Vm* Placer::SelectVmToReserve(const std::vector<Vm*>& vms, const StepSpec& spec,
                               const std::string& service, Millis now) {
   Vm* best = nullptr;
   for (Vm* vm : vms) {
-    if (!AcceptsRuns(*vm, spec, service, now)) continue;
+    if (GeneralRefusal(*vm, spec, service, now)) continue;
     if (vm->reservation && now < vm->reservation->until) continue;
     if (!spec.Charge().FitsIn(vm->CapacityBesideLongRunning())) continue;
     if (best && vm->Free().cpu_millis <= best->Free().cpu_millis) continue;
@@ -127,6 +124,59 @@
   return count;
 }
 
+std::optional<PlacementRefusal> Placer::RefusalOf(
+    const Vm& vm, const StepSpec& spec, const std::string& service,
+    const TaskRef& ref, const std::vector<Task>& siblings, Millis now) {
+  const auto general = GeneralRefusal(vm, spec, service, now);
+  if (general) return general;
+  const records::Resources charge = spec.Charge();
+  const records::Resources free = vm.Free();
+  if (!charge.FitsIn(free)) {
+    return charge.memory_mib > free.memory_mib ? PlacementRefusal::kMemory
+                                               : PlacementRefusal::kCapacity;
+  }
+  if (spec.best_effort && UnusedCpuMillis(vm) < spec.need.cpu_millis) {
+    return PlacementRefusal::kUnusedCpu;
+  }
+  if (IsBlockedByReservation(vm, spec, ref, now)) {
+    return PlacementRefusal::kReserved;
+  }
+  if (spec.max_per_vm > 0 &&
+      CountOn(vm.listing.id, siblings) >= spec.max_per_vm) {
+    return PlacementRefusal::kMaxPerVm;
+  }
+  return std::nullopt;
+}
+
+PlacementOptions Placer::CountOptions(const std::vector<const Vm*>& vms,
+                                      const StepSpec& spec,
+                                      const std::string& service,
+                                      const TaskRef& ref,
+                                      const std::vector<Task>& siblings,
+                                      Millis now) const {
+  PlacementOptions options;
+  options.vms = static_cast<int>(vms.size());
+  for (const Vm* vm : vms) {
+    auto refusal = RefusalOf(*vm, spec, service, ref, siblings, now);
+    if (!refusal) {
+      const int pace_percent =
+          spec.best_effort
+              ? tails_.MaxPacePercent(*vm, spec.image, spec.need.cpu_millis)
+              : 100;
+      options.max_pace_percent =
+          std::max(options.max_pace_percent, pace_percent);
+      if (pace_percent < kMinStartPacePercent)
+        refusal = PlacementRefusal::kPredictedTails;
+    }
+    if (refusal) {
+      ++options.refused[static_cast<std::size_t>(*refusal)];
+    } else {
+      ++options.open_vms;
+    }
+  }
+  return options;
+}
+
 Placement Placer::SelectPlacement(const std::vector<Vm*>& vms,
                                   const StepSpec& spec,
                                   const std::string& service,
@@ -136,12 +186,7 @@
   Placement best;
   double best_cost = 0;
   for (Vm* vm : vms) {
-    if (!IsEligible(*vm, spec, service, now)) continue;
-    if (IsBlockedByReservation(*vm, spec, ref, now)) continue;
-    if (spec.max_per_vm > 0 &&
-        CountOn(vm->listing.id, siblings) >= spec.max_per_vm) {
-      continue;
-    }
+    if (RefusalOf(*vm, spec, service, ref, siblings, now)) continue;
     double cost = Cost(*vm, spec, task);
     if (best.vm && cost >= best_cost) continue;
     int pace_percent = 100;
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -1,13 +1,16 @@
 #ifndef BASILSPUR_JOBS_PLACER_H_
 #define BASILSPUR_JOBS_PLACER_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/clock.h"
 #include "jobs/job.h"
+#include "jobs/placement_refusal.h"
 #include "jobs/tail_controller.h"
 #include "jobs/vm.h"
+#include "jobs/waiting_task.h"
 
 namespace basilspur::jobs {
 
@@ -34,6 +37,14 @@
                             const Task& task, const std::vector<Task>& siblings,
                             Millis now) const;
 
+  /// Counts the VMs that can host a run of the task, and those that cannot by
+  /// the rule that excludes them. Applies the same rules as SelectPlacement.
+  PlacementOptions CountOptions(const std::vector<const Vm*>& vms,
+                                const StepSpec& spec,
+                                const std::string& service, const TaskRef& ref,
+                                const std::vector<Task>& siblings,
+                                Millis now) const;
+
   /// Returns the VM that is expected to have capacity for a long-running task
   /// first, once the shorter tasks on it have ended. Null if no VM qualifies or
   /// all that do are reserved.
@@ -42,10 +53,16 @@
                                Millis now);
 
  private:
-  static bool AcceptsRuns(const Vm& vm, const StepSpec& spec,
-                          const std::string& service, Millis now);
-  bool IsEligible(const Vm& vm, const StepSpec& spec,
-                  const std::string& service, Millis now) const;
+  /// Returns the rule, if any, by which the VM accepts no runs of the step,
+  /// whatever runs there.
+  static std::optional<PlacementRefusal> GeneralRefusal(
+      const Vm& vm, const StepSpec& spec, const std::string& service,
+      Millis now);
+  /// Returns the first rule, if any, that excludes the VM; all rules but the
+  /// limit of predicted tail latencies are checked.
+  static std::optional<PlacementRefusal> RefusalOf(
+      const Vm& vm, const StepSpec& spec, const std::string& service,
+      const TaskRef& ref, const std::vector<Task>& siblings, Millis now);
   double Cost(const Vm& vm, const StepSpec& spec, const Task& task) const;
 
   const TailController& tails_;
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -23,6 +23,7 @@
 #include "jobs/unplaceable_tasks.h"
 #include "jobs/unreachable_vm.h"
 #include "jobs/vm.h"
+#include "jobs/waiting_task.h"
 
 namespace basilspur::jobs {
 
@@ -166,6 +167,11 @@
   std::vector<VmListing> VmsToRenew() const;
   std::size_t ActiveJobs() const { return active_jobs_.size(); }
   CellSummary Summary(Millis now) const;
+  /// Returns a waiting task of the oldest job that has one, either among the
+  /// best-effort tasks or among the others, and why it waits. Jobs of which
+  /// nothing runs are preferred. Checks each VM once.
+  std::optional<WaitingTask> OldestWaitingTask(bool best_effort,
+                                               Millis now) const;
   /// Model of tail latencies and of the images that raise them.
   TailController& Tails() { return tails_; }
   const TailController& Tails() const { return tails_; }
@@ -233,6 +239,12 @@
   /// Active jobs by priority, then by tier, then by the time of acceptance.
   std::vector<Job*> JobsInSchedulingOrder() const;
   void UpdateTier(Job& job, Millis now);
+  /// Updates since when nothing of the job runs though a task waits.
+  void UpdateIdleTime(Job& job, Millis now);
+  std::optional<TaskRef> FirstWaitingTask(const Job& job, bool best_effort,
+                                          Millis now) const;
+  PlacementOptions OptionsFor(const Job& job, const TaskRef& ref,
+                              Millis now) const;
   int NextRunNumber(const Job& job, const Task& task) const;
 
   SchedulerSettings settings_;
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -28,7 +28,9 @@
   for (Job* job : JobsInSchedulingOrder()) {
     if (CanStartRuns(*job)) PlanJob(*job, vms, now, commands);
   }
-  if (check) PlanEvacuations(vms, now, commands);
+  if (!check) return commands;
+  for (auto& [key, job] : active_jobs_) UpdateIdleTime(*job, now);
+  PlanEvacuations(vms, now, commands);
   return commands;
 }
 
