Give each best-effort job a run within a bounded time

Callers saw best-effort jobs wait for 46 to 110 s with nothing running while two thirds of the processors were not charged.

Now a job of which nothing has run for 2 s though a best-effort task waits gets one relief run: on the VM whose tails, measured or predicted, are lowest, at a fifth of full speed or what the tails allow, also where other best-effort runs use the processors left. No relief run begins where a tail would be throttled; one a VM, 32 a cell. The pace controller then raises or pauses it by measurement. When over 60% of the processors are charged, the limits are 15 s and 8 a cell, since each relief run then takes its time from jobs that are on time.

A relief run leaves its job's tier as it is and does not count for the mean run time by which jobs are deferred.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -74,7 +74,7 @@
 
 /// Rank of a job among those of its priority; lower values are scheduled first.
 enum class JobTier {
-  kStarted,          ///< A task of the job has been started.
+  kStarted,          ///< A task of the job has been started in turn.
   kOnTime,           ///< Not started; can still meet its objective.
   kDeferredStarted,  ///< Started after it had been deferred.
   kDeferred,         ///< Has waited too long to meet its objective.
@@ -91,7 +91,10 @@
   int next_occurrence = 0;  ///< Number of the next to become due.
   bool accepted = false;    ///< The job is in the journal.
   bool started = false;     ///< A task of the job has been started.
-  bool inherited = false;   ///< Accepted by an earlier owner.
+  /// Only relief runs of the job have been started; they do not change its
+  /// tier.
+  bool started_by_relief_only = false;
+  bool inherited = false;  ///< Accepted by an earlier owner.
   /// Status as recorded in the journal.
   JobStatus durable_status = JobStatus::kActive;
   bool record_dirty = false;
--- a/src/libs/jobs/job_tier_policy.cc
+++ b/src/libs/jobs/job_tier_policy.cc
@@ -31,7 +31,7 @@
                               Millis now) const {
   const bool was_deferred =
       job.tier == JobTier::kDeferred || job.tier == JobTier::kDeferredStarted;
-  if (job.started) {
+  if (job.started && !job.started_by_relief_only) {
     return was_deferred ? JobTier::kDeferredStarted : JobTier::kStarted;
   }
   const auto mean = mean_run_ms_.find(queue.name);
--- a/src/libs/jobs/job_tier_policy.h
+++ b/src/libs/jobs/job_tier_policy.h
@@ -18,7 +18,8 @@
 /// started is deferred behind later jobs once it has waited for a part of its
 /// slack. The jobs ahead of it then meet their objectives, and deferred jobs
 /// run when capacity becomes free. Jobs that have started come first, as their
-/// completed work would otherwise be wasted.
+/// completed work would otherwise be wasted. A relief run does not count as a
+/// start, or each job that has waited would come before all that are on time.
 ///
 /// Estimates declared by callers are too inaccurate, so run times are averaged
 /// over observed runs.
--- a/src/libs/jobs/placement_refusal.h
+++ b/src/libs/jobs/placement_refusal.h
@@ -19,9 +19,9 @@
   kMissingLabel,    ///< It lacks the label that the step requires.
   kMemory,          ///< Too little free memory.
   kCapacity,        ///< Too few free processors or other resources.
-  kUnusedCpu,       ///< Other best-effort runs use the processors left unused.
   kReserved,        ///< Its capacity is reserved for another task.
   kMaxPerVm,        ///< It has as many tasks of the step as the step allows.
+  kUnusedCpu,       ///< Other best-effort runs use the processors left unused.
   kPredictedTails,  ///< A tail latency would come too close to its target.
 };
 
@@ -29,11 +29,10 @@
 
 /// Names as used in logs, by the value of PlacementRefusal.
 inline constexpr std::array<std::string_view, kPlacementRefusalCount>
-    kPlacementRefusalNames = {"unlisted",       "unreachable", "lease_bound",
-                              "draining",       "service",     "quarantined",
-                              "label",          "memory",      "capacity",
-                              "unused_cpu",     "reserved",    "max_per_vm",
-                              "predicted_tails"};
+    kPlacementRefusalNames = {
+        "unlisted",    "unreachable", "lease_bound",    "draining", "service",
+        "quarantined", "label",       "memory",         "capacity", "reserved",
+        "max_per_vm",  "unused_cpu",  "predicted_tails"};
 
 }  // namespace basilspur::jobs
 
--- a/src/libs/jobs/placer.cc
+++ b/src/libs/jobs/placer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <string_view>
+#include <utility>
 
 namespace basilspur::jobs {
 
@@ -26,16 +27,24 @@
 static constexpr double kSlowdownCostPerPercent = 400;
 /// A best-effort run that would have to start at a lower pace waits instead.
 static constexpr int kMinStartPacePercent = 70;
+/// Lowest pace of a relief run. It has to be high enough for the run to make
+/// progress, and low enough not to be throttled.
+static constexpr int kMinReliefPacePercent = 20;
 /// Approximate share of their declared processor time that long-running tasks
 /// with a tail latency target use.
 static constexpr std::int64_t kServingCpuUsePercent = 55;
 
-/// Processor time that the runs on a VM leave unused. Negative if best-effort
-/// runs need more than that.
-static std::int64_t UnusedCpuMillis(const Vm& vm) {
+/// Processor time that the runs on a VM leave to best-effort runs.
+static std::int64_t CpuMillisForBestEffort(const Vm& vm) {
   const std::int64_t idle =
       vm.ServingCpuMillis() * (100 - kServingCpuUsePercent) / 100;
-  return vm.Free().cpu_millis + idle - vm.BestEffortCpuMillis();
+  return vm.Free().cpu_millis + idle;
+}
+
+/// Processor time that all runs on a VM leave unused. Negative if best-effort
+/// runs need more than the others leave.
+static std::int64_t UnusedCpuMillis(const Vm& vm) {
+  return CpuMillisForBestEffort(vm) - vm.BestEffortCpuMillis();
 }
 
 std::optional<PlacementRefusal> Placer::GeneralRefusal(
@@ -135,9 +144,6 @@
     return charge.memory_mib > free.memory_mib ? PlacementRefusal::kMemory
                                                : PlacementRefusal::kCapacity;
   }
-  if (spec.best_effort && UnusedCpuMillis(vm) < spec.need.cpu_millis) {
-    return PlacementRefusal::kUnusedCpu;
-  }
   if (IsBlockedByReservation(vm, spec, ref, now)) {
     return PlacementRefusal::kReserved;
   }
@@ -145,9 +151,49 @@
       CountOn(vm.listing.id, siblings) >= spec.max_per_vm) {
     return PlacementRefusal::kMaxPerVm;
   }
+  if (spec.best_effort && UnusedCpuMillis(vm) < spec.need.cpu_millis) {
+    return PlacementRefusal::kUnusedCpu;
+  }
   return std::nullopt;
 }
 
+/// Whether a refusal, if any, also excludes relief runs.
+static bool ExcludesRelief(const std::optional<PlacementRefusal>& refusal) {
+  return refusal && refusal != PlacementRefusal::kUnusedCpu;
+}
+
+Placement Placer::SelectReliefPlacement(const std::vector<Vm*>& vms,
+                                        const StepSpec& spec,
+                                        const std::string& service,
+                                        const TaskRef& ref,
+                                        const std::vector<Task>& siblings,
+                                        Millis now) const {
+  const std::int64_t min_cpu_millis =
+      spec.need.cpu_millis * kMinReliefPacePercent / 100;
+  Placement best;
+  // The highest predicted tail latency, then the missing processor time.
+  std::pair<double, std::int64_t> best_cost;
+  for (Vm* vm : vms) {
+    if (ExcludesRelief(RefusalOf(*vm, spec, service, ref, siblings, now)))
+      continue;
+    if (CpuMillisForBestEffort(*vm) < min_cpu_millis) continue;
+    if (vm->HasReliefRun()) continue;
+    const std::optional<double> share =
+        tails_.HighestTargetShareWith(*vm, spec.image, min_cpu_millis);
+    if (!share) continue;
+    const std::pair cost(*share, -UnusedCpuMillis(*vm));
+    if (best.vm && cost >= best_cost) continue;
+    best.vm = vm;
+    best_cost = cost;
+  }
+  if (!best.vm) return best;
+  best.relief = true;
+  best.pace_percent = std::max(
+      kMinReliefPacePercent,
+      tails_.MaxPacePercent(*best.vm, spec.image, spec.need.cpu_millis));
+  return best;
+}
+
 PlacementOptions Placer::CountOptions(const std::vector<const Vm*>& vms,
                                       const StepSpec& spec,
                                       const std::string& service,
@@ -197,7 +243,7 @@
       cost += kSlowdownCostPerPercent * (100 - pace_percent);
       if (best.vm && cost >= best_cost) continue;
     }
-    best = {vm, pace_percent};
+    best = {vm, pace_percent, /*relief=*/false};
     best_cost = cost;
   }
   return best;
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -18,6 +18,9 @@
 struct Placement {
   Vm* vm = nullptr;        ///< Null: no VM can host the run.
   int pace_percent = 100;  ///< Percentage of the run's full speed.
+  /// The run is started, at a low pace, only so that its job has a run at all:
+  /// see Placer::SelectReliefPlacement.
+  bool relief = false;
 };
 
 /// Selects VMs for tasks. Only computes decisions: neither VMs nor tasks are
@@ -37,6 +40,19 @@
                             const Task& task, const std::vector<Task>& siblings,
                             Millis now) const;
 
+  /// Returns a VM for a best-effort task of a job of which nothing has run for
+  /// long. The task may use processors that other best-effort runs use, and may
+  /// start at a lower pace than other tasks, on the VM whose tail latencies are
+  /// predicted to stay furthest below their targets. VMs with a tail latency
+  /// that would be throttled, or with another relief run, are excluded.
+  /// Precondition: the step is best-effort.
+  Placement SelectReliefPlacement(const std::vector<Vm*>& vms,
+                                  const StepSpec& spec,
+                                  const std::string& service,
+                                  const TaskRef& ref,
+                                  const std::vector<Task>& siblings,
+                                  Millis now) const;
+
   /// Counts the VMs that can host a run of the task, and those that cannot by
   /// the rule that excludes them. Applies the same rules as SelectPlacement.
   PlacementOptions CountOptions(const std::vector<const Vm*>& vms,
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -214,6 +214,17 @@
                 std::vector<RunCommand>& commands);
   void PlanGang(Job& job, Occurrence& occurrence, int step, Millis now,
                 std::vector<RunCommand>& commands);
+  /// Starts one best-effort task of each job of which nothing has run for
+  /// the relief delay, the longest idle first. Neither the order of service nor
+  /// the limit of predicted tail latencies can thus make a job wait without
+  /// end.
+  void PlanReliefRuns(const std::vector<Vm*>& vms, Millis now,
+                      std::vector<RunCommand>& commands);
+  const ReliefLimits& CurrentReliefLimits() const;
+  std::vector<Job*> JobsInNeedOfRelief(Millis delay, Millis now) const;
+  /// Returns false if no VM can host a relief run of the task.
+  bool StartReliefRun(Job& job, const TaskRef& ref, const std::vector<Vm*>& vms,
+                      Millis now, std::vector<RunCommand>& commands);
   bool NeedsRun(const Task& task, Millis now) const;
   /// Reserves capacity of a VM for a long-running task that was not placed.
   void ReserveCapacityFor(const TaskRef& ref, const StepSpec& spec,
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -25,6 +25,7 @@
       UpdateTier(*job, now);
     }
   }
+  if (check) PlanReliefRuns(vms, now, commands);
   for (Job* job : JobsInSchedulingOrder()) {
     if (CanStartRuns(*job)) PlanJob(*job, vms, now, commands);
   }
@@ -185,9 +186,15 @@
   task.last_run = number;
   RunOnVm run_on_vm = MakeRunOnVm(spec);
   run_on_vm.pace_percent = place.pace_percent;
+  run_on_vm.relief = place.relief;
+  // Keeps the time that the run takes out of the mean by which jobs are
+  // deferred.
+  if (place.relief) run_on_vm.pace_changed_at = now;
   vm.Add({ref, number}, run_on_vm);
   commands.push_back(MakeStart(job, ref, run));
   commands.back().checkpoint = task.checkpoint;
+  if (!place.relief) job.started_by_relief_only = false;
+  if (place.relief && !job.started) job.started_by_relief_only = true;
   job.started = true;
   MarkProgressDirty(job);
   // The journal entry lets a later owner find the VM even if it is no longer
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -6,6 +6,14 @@
 
 namespace basilspur::jobs {
 
+/// Limits of relief runs: see Placer::SelectReliefPlacement.
+struct ReliefLimits {
+  /// Time for which nothing of a job may run though a best-effort task waits,
+  /// before one of its tasks is started as a relief run.
+  Millis delay;
+  int max_runs = 0;  ///< At a time, in the cell.
+};
+
 /// Limits and times of a scheduler.
 struct SchedulerSettings {
   /// Duration of the lease that covers all runs of a VM. Renewals extend it.
@@ -46,6 +54,14 @@
   std::size_t max_active_jobs = 4'000;
   /// Time at pace 0 after which a best-effort run is moved to another VM.
   Millis zero_pace_timeout{700};
+  /// Limits of relief runs, and those while more than
+  /// `max_idle_charge_percent` of the processors are charged. Then each relief
+  /// run of a job that is late delays jobs that are on time.
+  ReliefLimits relief{Millis(2'000), 32};
+  ReliefLimits busy_relief{Millis(15'000), 8};
+  int max_idle_charge_percent = 60;
+  /// Maximum number of relief runs that are started at once.
+  int max_relief_starts = 8;
   TailControllerSettings tails;
 };
 
--- a/src/libs/jobs/scheduler_waiting.cc
+++ b/src/libs/jobs/scheduler_waiting.cc
@@ -4,19 +4,20 @@
 
 namespace basilspur::jobs {
 
-std::optional<TaskRef> Scheduler::FirstWaitingTask(const Job& job,
-                                                   bool best_effort,
-                                                   Millis now) const {
+/// Returns the first task, of those whose dependencies are done, for which
+/// `matches(spec, task)` is true.
+template <class Matches>
+static std::optional<TaskRef> FirstTask(const Job& job, Matches matches) {
   for (const Occurrence& occurrence : job.occurrences) {
     for (int step = 0; step < static_cast<int>(occurrence.steps.size());
          ++step) {
       const Step& state = occurrence.steps[step];
-      if (job.record.spec.steps[step].best_effort != best_effort) continue;
       if (state.done == static_cast<int>(state.tasks.size())) continue;
       if (!job.DependenciesDone(occurrence, step)) continue;
+      const StepSpec& spec = job.record.spec.steps[step];
       const auto found =
           std::find_if(state.tasks.begin(), state.tasks.end(),
-                       [&](const Task& task) { return NeedsRun(task, now); });
+                       [&](const Task& task) { return matches(spec, task); });
       if (found == state.tasks.end()) continue;
       const auto index = static_cast<int>(found - state.tasks.begin());
       return TaskRef{job.id, occurrence.number, step, index};
@@ -25,10 +26,21 @@
   return std::nullopt;
 }
 
+std::optional<TaskRef> Scheduler::FirstWaitingTask(const Job& job,
+                                                   bool best_effort,
+                                                   Millis now) const {
+  return FirstTask(job, [&](const StepSpec& spec, const Task& task) {
+    return spec.best_effort == best_effort && NeedsRun(task, now);
+  });
+}
+
 void Scheduler::UpdateIdleTime(Job& job, Millis now) {
-  const bool idle = !job.HasActiveRuns() &&
-                    (FirstWaitingTask(job, /*best_effort=*/true, now) ||
-                     FirstWaitingTask(job, /*best_effort=*/false, now));
+  // A run that is being stopped does no work, but its task can be started again
+  // only once it has ended.
+  const auto is_due = [&](const StepSpec&, const Task& task) {
+    return !task.done && now >= task.not_before;
+  };
+  const bool idle = !job.HasActiveRuns() && FirstTask(job, is_due);
   if (!idle) job.idle_since = Millis(0);
   if (idle && job.idle_since == Millis(0)) job.idle_since = now;
 }
--- a/src/libs/jobs/tail_controller.cc
+++ b/src/libs/jobs/tail_controller.cc
@@ -179,18 +179,48 @@
   }
 }
 
+const std::vector<TailPrediction>& TailController::PredictionsFor(
+    const Vm& vm, const std::string& image) const {
+  auto found = vm.tail_predictions.find(image);
+  if (found == vm.tail_predictions.end()) {
+    found = vm.tail_predictions.emplace(image, PredictTails(vm, image)).first;
+  }
+  return found->second;
+}
+
+/// Returns a run's measured tail latency as a share of its target.
+static double MeasuredShareOf(const RunOnVm& run) {
+  if (run.tail_target_ms <= 0) return 0;
+  return static_cast<double>(run.measurement) /
+         static_cast<double>(run.tail_target_ms);
+}
+
+std::optional<double> TailController::HighestTargetShareWith(
+    const Vm& vm, const std::string& image, std::int64_t cpu_millis) const {
+  double measured = 0;
+  for (const auto& [key, run] : vm.Runs()) {
+    if (run.over_target_since != Millis(0)) return std::nullopt;
+    measured = std::max(measured, MeasuredShareOf(run));
+  }
+  double current = measured;
+  double increase = 0;
+  for (const TailPrediction& prediction : PredictionsFor(vm, image)) {
+    current = std::max(current, prediction.current_target_share);
+    increase = std::max(increase, prediction.target_share_per_millicore *
+                                      static_cast<double>(cpu_millis));
+  }
+  if (current > settings_.throttle_above_share) return std::nullopt;
+  return current + increase;
+}
+
 int TailController::MaxPacePercent(const Vm& vm, const std::string& image,
                                    std::int64_t cpu_millis) const {
   if (vm.ServingRunCount() == 0) return 100;
   for (const auto& [key, run] : vm.Runs()) {
     if (run.over_target_since != Millis(0)) return 0;
   }
-  auto found = vm.tail_predictions.find(image);
-  if (found == vm.tail_predictions.end()) {
-    found = vm.tail_predictions.emplace(image, PredictTails(vm, image)).first;
-  }
   double pace_percent = 100;
-  for (const TailPrediction& prediction : found->second) {
+  for (const TailPrediction& prediction : PredictionsFor(vm, image)) {
     const double full_increase =
         prediction.target_share_per_millicore * static_cast<double>(cpu_millis);
     if (full_increase < kNegligibleTargetShare) continue;
@@ -210,8 +240,7 @@
   double worst_share = 0;
   for (const auto& [key, run] : vm.Runs()) {
     if (run.tail_target_ms <= 0) continue;
-    const double share = static_cast<double>(run.measurement) /
-                         static_cast<double>(run.tail_target_ms);
+    const double share = MeasuredShareOf(run);
     if (share <= worst_share) continue;
     worst_share = share;
     victim = &run;
--- a/src/libs/jobs/tail_controller.h
+++ b/src/libs/jobs/tail_controller.h
@@ -2,6 +2,7 @@
 #define BASILSPUR_JOBS_TAIL_CONTROLLER_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,14 @@
   int MaxPacePercent(const Vm& vm, const std::string& image,
                      std::int64_t cpu_millis) const;
 
+  /// Returns an upper bound of the tail latencies, as shares of their targets,
+  /// with an additional run of `image` that uses `cpu_millis`; 0 on a VM
+  /// without serving runs. Empty if a tail latency is already so high, by
+  /// measurement or prediction, that it would be throttled.
+  std::optional<double> HighestTargetShareWith(const Vm& vm,
+                                               const std::string& image,
+                                               std::int64_t cpu_millis) const;
+
   /// Throttles or releases the VM's best-effort runs by the measured tail
   /// latencies.
   void AdjustPaces(Vm& vm, Millis now);
@@ -72,6 +81,10 @@
 
   std::vector<TailPrediction> PredictTails(const Vm& vm,
                                            const std::string& image) const;
+  /// Returns the cached predictions, which are computed first if there are
+  /// none.
+  const std::vector<TailPrediction>& PredictionsFor(
+      const Vm& vm, const std::string& image) const;
   double BaselineMs(const std::string& image, std::int64_t target_ms) const;
   void MergeBaselines(const TailRecord& record);
   void UpdateBaseline(const RunOnVm& run, double baseline_ms);
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -102,6 +102,11 @@
   return capacity;
 }
 
+bool Vm::HasReliefRun() const {
+  return std::any_of(runs_.begin(), runs_.end(),
+                     [](const auto& entry) { return entry.second.relief; });
+}
+
 RunOnVm* Vm::FindRun(const RunKey& key) {
   const auto found = runs_.find(key);
   return found == runs_.end() ? nullptr : &found->second;
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -24,6 +24,7 @@
   std::int64_t tail_target_ms = 0;  ///< Tail latency target; 0: none.
   std::string image = {};
   bool long_running = false;
+  bool relief = false;           ///< See Placement::relief.
   std::int64_t measurement = 0;  ///< See RunningRunReport.
   /// The VM has confirmed the start or reported the run.
   bool confirmed = false;
@@ -104,6 +105,8 @@
   const Reservation* ReservationOfOther(const TaskRef& task, Millis now) const;
   /// Returns the capacity that is free once only long-running tasks are left.
   records::Resources CapacityBesideLongRunning() const;
+  /// Whether one of the runs is a relief run.
+  bool HasReliefRun() const;
   /// Returns null if the run is not charged to this VM.
   RunOnVm* FindRun(const RunKey& key);
 
--- a/tests/auto/jobs/job_tier_policy_test.cc
+++ b/tests/auto/jobs/job_tier_policy_test.cc
@@ -46,6 +46,16 @@
         JobTier::kDeferredStarted);
 }
 
+TEST_CASE("a relief run does not put its job ahead of jobs on time") {
+  JobTierPolicy policy;
+  policy.OnRunDone("reports", kRunTime);
+  Job job = MakeJob(Millis(0));
+  job.started = true;
+  job.started_by_relief_only = true;
+  CHECK(policy.TierOf(job, MakeQueue(), Millis(1'000)) == JobTier::kOnTime);
+  CHECK(policy.TierOf(job, MakeQueue(), Millis(3'000)) == JobTier::kDeferred);
+}
+
 TEST_CASE("long-running and recurring jobs are never deferred") {
   JobTierPolicy policy;
   policy.OnRunDone("reports", kRunTime);
