--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -76,7 +76,7 @@
 
 /// Rank of a job among those of its priority; lower values are scheduled first.
 enum class JobTier {
-  kStarted,          ///< A task of the job has been started.
+  kStarted,          ///< A task of the job has been started in turn.
   kOnTime,           ///< Not started; can still meet its objective.
   kDeferredStarted,  ///< Started after it had been deferred.
   kDeferred,         ///< Has waited too long to meet its objective.
@@ -93,7 +93,10 @@
   int next_occurrence = 0;  ///< Number of the next to become due.
   bool accepted = false;    ///< The job is in the journal.
   bool started = false;     ///< A task of the job has been started.
-  bool inherited = false;   ///< Accepted by an earlier owner.
+  /// Only relief runs of the job have been started; they do not change its
+  /// tier.
+  bool started_by_relief_only = false;
+  bool inherited = false;  ///< Accepted by an earlier owner.
   /// Status as recorded in the journal.
   JobStatus durable_status = JobStatus::kActive;
   bool record_dirty = false;
@@ -101,6 +104,9 @@
   bool has_progress_record = false;  ///< The journal has a progress record.
   Millis accepted_at;
   JobTier tier = JobTier::kOnTime;
+  /// Since when nothing of the job runs though a task waits; 0: something runs
+  /// or no task waits.
+  Millis idle_since;
 
   /// Precondition: the task is part of a present occurrence.
   Task& At(const TaskRef& task);
@@ -114,6 +120,8 @@
   /// Adds an occurrence whose tasks all wait.
   Occurrence& AddOccurrence(int number);
   bool HasRuns() const;
+  /// Whether the job has a run that is not being stopped.
+  bool HasActiveRuns() const;
   /// Calls `visit(ref, task, run)` for each run. `visit` must not add or remove
   /// runs.
   template <class Visit>
--- a/tests/sim/simulated_node.cc
+++ b/tests/sim/simulated_node.cc
@@ -24,10 +24,8 @@
                  environment_.find_vm, environment_.need_of) {
   cell::CellMember::Callbacks callbacks;
   callbacks.make_owner = [this](cell::CellOwner::Ownership ownership,
-                                std::function<bool()> is_authoritative,
-                                std::function<void()> on_fenced) {
-    return MakeOwner(std::move(ownership), std::move(is_authoritative),
-                     std::move(on_fenced));
+                                cell::CellOwner::Standing standing) {
+    return MakeOwner(std::move(ownership), std::move(standing));
   };
   callbacks.call_peer = environment_.call_peer;
   callbacks.on_load = [](const cell::CellLoad&) {};
@@ -57,8 +55,7 @@
 }
 
 std::shared_ptr<cell::CellOwner> SimulatedNode::MakeOwner(
-    cell::CellOwner::Ownership ownership,
-    std::function<bool()> is_authoritative, std::function<void()> on_fenced) {
+    cell::CellOwner::Ownership ownership, cell::CellOwner::Standing standing) {
   if (!directory_started_) {
     directory_started_ = true;
     net::asio::co_spawn(context_, RunDirectory(), net::asio::detached);
@@ -81,7 +78,7 @@
   auto owner = std::make_shared<cell::CellOwner>(
       context_, store_, vm_client_, environment_.clock,
       cell::CellOwnerSettings{}, std::move(ownership), std::move(callbacks),
-      std::move(is_authoritative), std::move(on_fenced));
+      std::move(standing));
   owner->OnCatalog(environment_.catalog);
   for (const auto& [id, listing] : vms_) owner->OnVmListed(listing);
   return owner;
--- a/tests/sim/simulated_node.h
+++ b/tests/sim/simulated_node.h
@@ -69,8 +69,7 @@
 
  private:
   std::shared_ptr<cell::CellOwner> MakeOwner(
-      cell::CellOwner::Ownership ownership,
-      std::function<bool()> is_authoritative, std::function<void()> on_fenced);
+      cell::CellOwner::Ownership ownership, cell::CellOwner::Standing standing);
   net::asio::awaitable<void> RunTicks();
   net::asio::awaitable<void> RunDirectory();
   net::asio::awaitable<void> RunLeave(std::function<void()> on_left);
