Renew again after an append that ended by an exception

What callers saw: nothing known. The exception is hypothetical: a test throws it. An answer of the store whose fields have other types would.

Cause: AppendOwnerRecord() cleared `appending_` as its last step, so an exception, which a detached coroutine drops, left it set: the entry never renewed or campaigned in that cell again.

Fix: the flag is reset at the end of the scope.

Before the fix: an entry whose append failed unexpectedly renews again CHECK( fixture.store.conditional_appends > before ) 2 > 2

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -17,6 +17,18 @@
 static constexpr int kMaxVacateAttempts = 5;
 static constexpr Millis kVacateRetryInterval(100);
 
+/// Resets a flag at the end of its scope, also after an exception.
+class FlagReset {
+ public:
+  explicit FlagReset(bool& flag) : flag_(flag) {}
+  ~FlagReset() { flag_ = false; }
+  FlagReset(const FlagReset&) = delete;
+  FlagReset& operator=(const FlagReset&) = delete;
+
+ private:
+  bool& flag_;
+};
+
 CellMember::CellMember(net::asio::io_context& context, Store& store,
                        const Clock& clock, Identity identity,
                        ElectionSettings settings, int cell, std::uint64_t seed,
@@ -204,6 +216,7 @@
 net::asio::awaitable<void> CellMember::AppendOwnerRecord(
     OwnerRecord record, std::int64_t expected_end) {
   const auto self = shared_from_this();
+  const FlagReset reset(appending_);
   const Millis sent = clock_.Monotonic();
   const bool renewal = record.token >= 0;
   std::vector<jobs::UnreachableVm> unreachable_vms;
@@ -246,7 +259,6 @@
     default:
       break;
   }
-  appending_ = false;
 }
 
 net::asio::awaitable<void> CellMember::RereadPartition(Millis sent) {
--- a/tests/auto/cell/cell_member_test.cc
+++ b/tests/auto/cell/cell_member_test.cc
@@ -1,6 +1,7 @@
 #include "cell/cell_member.h"
 
 #include <catch2/catch.hpp>
+#include <stdexcept>
 
 #include "auto/cell/cell_member_fixture.h"
 
@@ -100,3 +101,18 @@
   REQUIRE(fixture.member->Owns());
   CHECK(fixture.AskFor("unknown") == ReplyKind::kNotOwner);
 }
+
+TEST_CASE("an entry whose append failed unexpectedly renews again") {
+  CellMemberFixture fixture;
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.store.on_append_at = [](auto&&...) -> AppendAnswer {
+    throw std::runtime_error("unreadable answer");
+  };
+  fixture.TickFor(kSettings.renewal_interval * 2);
+  fixture.store.on_append_at = nullptr;
+  fixture.TickFor(kSettings.renewal_interval * 2);
+  const int before = fixture.store.conditional_appends;
+  fixture.TickFor(kSettings.renewal_interval * 2);
+  CHECK(fixture.store.conditional_appends > before);
+}
