--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -58,7 +58,8 @@
   const std::optional<OwnerRecord>& KnownOwner() const {
     return election_.Owner();
   }
-  /// A peer owns the cell under `token`. Ends an older ownership of this node.
+  /// A peer owns the cell under `token`. Ends an older ownership of this node,
+  /// and prevents one that this node does not know of yet.
   void OnStepDownRequest(std::int64_t token);
   /// The owner's process with this incarnation has terminated.
   void OnOwnerTerminated(const std::string& incarnation);
@@ -74,10 +75,14 @@
   /// Creates or stops the owner so that it matches the election.
   void SyncOwner();
   net::asio::awaitable<void> HandOver();
-  net::asio::awaitable<void> AppendOwnerRecord(OwnerRecord record);
+  /// Starts to append a record that was made from all records read so far.
+  void StartAppend(OwnerRecord record);
+  /// Appends if the partition still ends at `expected_end`.
+  net::asio::awaitable<void> AppendOwnerRecord(OwnerRecord record,
+                                               std::int64_t expected_end);
   /// Reads the partition again after an append that was sent at `sent` and was
   /// not confirmed. If this node still owns the cell, the ownership counts as
-  /// renewed at `sent`.
+  /// confirmed at `sent`, but not as renewed.
   net::asio::awaitable<void> RereadPartition(Millis sent);
   void StopOwner();
   /// Asks a former owner to step down until it confirms or `token` has ended.
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -1,7 +1,6 @@
 #include "cell/cell_owner.h"
 
 #include <algorithm>
-#include <chrono>
 #include <map>
 #include <utility>
 
@@ -10,8 +9,12 @@
 namespace basilspur::cell {
 
 static constexpr LogCategory kLog("cell");
-/// Run numbers of a term start this much above those of the previous term.
-static constexpr int kRunNumbersPerTerm = 16;
+/// Run numbers of a term start this much above those of the previous term. By
+/// its number a new owner recognizes a run that an earlier one started and
+/// could not record, so no task may be started that often in a term. A start
+/// that is refused takes a number, too, and is tried again within half a
+/// second.
+static constexpr int kRunNumbersPerTerm = 10'000;
 static constexpr Millis kDrainPollInterval(5);
 
 CellOwner::CellOwner(net::asio::io_context& context, Store& store,
@@ -103,9 +106,7 @@
   kLog.Info("event=predecessors_stopped" + LogFields());
 }
 
-void CellOwner::OnVmUnlisted(const std::string& id) {
-  scheduler_.UnlistVm(id, Now());
-}
+void CellOwner::OnVmUnlisted(const std::string& id) { scheduler_.UnlistVm(id); }
 
 void CellOwner::Tick() {
   // Lets waiting requests check their deadlines while no batch becomes durable.
@@ -158,9 +159,8 @@
   // A scheduling pass covers all waiting tasks, so events that arrive before it
   // share one pass.
   const Millis due = last_plan_ + settings_.min_plan_interval - Now();
-  plan_timer_.expires_after(
-      std::chrono::milliseconds(std::max(due.count, std::int64_t{0})));
-  plan_timer_.async_wait([self = shared_from_this()](const net::error_code&) {
+  plan_timer_.ExpireAfter(std::max(due, Millis(0)));
+  plan_timer_.AsyncWait([self = shared_from_this()](const net::error_code&) {
     self->plan_scheduled_ = false;
     self->last_plan_ = self->Now();
     self->RunPlan();
--- a/src/libs/cell/election.cc
+++ b/src/libs/cell/election.cc
@@ -16,8 +16,12 @@
   return record.node == node_ && record.incarnation == incarnation_;
 }
 
-void Election::OnRecord(const OwnerRecord& record, std::int64_t offset,
+bool Election::OnRecord(const OwnerRecord& record, std::int64_t offset,
                         Millis now) {
+  // Records are read in several ways at once: by following the partition, and
+  // by reading the newest ones.
+  if (offset <= newest_offset_) return false;
+  newest_offset_ = offset;
   end_ = std::max(end_, offset + 1);
   term_ = std::max(term_, record.term);
   const std::int64_t token = record.token >= 0 ? record.token : offset;
@@ -29,19 +33,23 @@
     handed_over_ = true;
     vacated_journal_complete_ = record.journal_complete;
     if (token == token_) token_ = -1;
-    return;
+    return true;
   }
   if (token != token_) former_owners_ = record.former_owners;
   if (token == offset) handed_over_ = !owner_ && former_owners_.empty();
   owner_ = record;
   owner_->token = token;
-  if (token < token_) return;
-  if (!IsMine(record) || token <= abandoned_token_) {
+  if (token < token_) return true;
+  const bool known_claim = token == token_ || token == claim_offset_;
+  if (!IsMine(record) || token <= abandoned_token_ || !known_claim) {
     token_ = -1;
-    return;
+    return true;
   }
-  if (token_ != token) last_renewal_sent_ = now;
+  // Other nodes count from when the claim was stored, and it may have been
+  // stored as soon as it was sent.
+  if (token_ != token) last_renewal_sent_ = last_confirmed_ = claim_sent_;
   token_ = token;
+  return true;
 }
 
 void Election::OnEnd(std::int64_t end, Millis now) {
@@ -58,14 +66,24 @@
 void Election::OnRenewed(std::int64_t offset, Millis sent, Millis now) {
   end_ = std::max(end_, offset + 1);
   last_renewal_sent_ = std::max(last_renewal_sent_, sent);
+  OnConfirmed(sent);
   owner_last_seen_ = now;
 }
 
+void Election::OnConfirmed(Millis sent) {
+  last_confirmed_ = std::max(last_confirmed_, sent);
+}
+
 void Election::StepDown() {
   abandoned_token_ = std::max(abandoned_token_, token_);
   token_ = -1;
 }
 
+void Election::StepDownBefore(std::int64_t token) {
+  abandoned_token_ = std::max(abandoned_token_, token - 1);
+  if (token_ < token) token_ = -1;
+}
+
 void Election::ScheduleCampaign(int owned, Millis now) {
   const auto jitter =
       static_cast<std::uint64_t>(settings_.campaign_jitter.count);
@@ -87,7 +105,7 @@
 }
 
 bool Election::ShouldRenew(Millis now) const {
-  return Owns() && now - last_renewal_sent_ >= settings_.renewal_interval;
+  return Owns() && now - last_confirmed_ >= settings_.renewal_interval;
 }
 
 bool Election::IsAuthoritative(Millis now) const {
@@ -95,20 +113,28 @@
 }
 
 bool Election::IsExpired(Millis now) const {
-  return Owns() && now - last_renewal_sent_ > settings_.expiry;
+  return Owns() && now - last_confirmed_ > settings_.expiry;
 }
 
 void Election::OnFormerOwnerStopped(const FormerOwner& owner) {
   std::erase(former_owners_, owner);
 }
 
-OwnerRecord Election::MakeClaimRecord(const std::string& address) const {
+OwnerRecord Election::MakeRecord(const std::string& address) const {
   OwnerRecord record;
   record.node = node_;
   record.incarnation = incarnation_;
   record.address = address;
-  record.term = term_ + 1;
+  record.term = term_;
   record.former_owners = former_owners_;
+  return record;
+}
+
+OwnerRecord Election::MakeClaimRecord(const std::string& address, Millis now) {
+  if (claim_offset_ != end_) claim_sent_ = now;
+  claim_offset_ = end_;
+  OwnerRecord record = MakeRecord(address);
+  ++record.term;
   if (owner_) {
     record.former_owners.push_back(
         {owner_->node, owner_->incarnation, owner_->address});
@@ -117,10 +143,8 @@
 }
 
 OwnerRecord Election::MakeRenewalRecord(const std::string& address) const {
-  OwnerRecord record = MakeClaimRecord(address);
+  OwnerRecord record = MakeRecord(address);
   record.token = token_;
-  record.term = term_;
-  record.former_owners = former_owners_;
   return record;
 }
 
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -73,8 +73,9 @@
   /// Adds a VM that is on the platform's list, or updates its listing.
   void UpsertVm(const VmListing& listing, Millis now);
   /// Marks a VM as no longer listed. It gets no new runs; its present runs
-  /// still count against its capacity.
-  void UnlistVm(const std::string& id, Millis now);
+  /// still count against its capacity. Later plans remove it once it has no
+  /// runs and its lease has expired.
+  void UnlistVm(const std::string& id);
 
   /// Restores a job from the journal. Call for all jobs before the first plan.
   void Restore(const std::string& id, const JobRecord& record,
@@ -179,12 +180,15 @@
 
   Job* FindJob(const std::string& id);
   Vm* FindVm(const std::string& id);
+  /// Returns the VM, which an earlier owner may have used.
+  Vm& InheritVm(const std::string& id, const std::string& address, Millis now);
   void Activate(Job& job);
   void EndJob(Job& job, JobStatus status, std::int64_t wall_ms);
   void PurgeEndedJobs(std::int64_t wall_ms);
   void MarkProgressDirty(Job& job);
 
-  bool IsUnjournaledRun(const Job* job, const Task* task, int run) const;
+  bool IsUnjournaledRun(const Vm& vm, const Job* job, const Task* task,
+                        int run) const;
   void ProcessRunningRun(Vm& vm, const RunningRunReport& row, Millis now);
   void ProcessEndedRun(Vm& vm, const EndedRunReport& row, bool lease_expired,
                        Millis now);
@@ -226,7 +230,10 @@
   void StopStalledRuns(Job& job, Millis now);
   void PlanStopsOfEndedJobs(Millis now, std::vector<RunCommand>& commands);
   void PlanStopsOfOrphanedRuns(Millis now, std::vector<RunCommand>& commands);
-  void IssueStop(const TaskRef& ref, Run& run, Millis now,
+  /// Returns false, and issues no command, while the journal does not list the
+  /// run: a VM reports no run that it is stopping, so a successor could not
+  /// know of it.
+  bool IssueStop(const TaskRef& ref, Run& run, Millis now,
                  std::vector<RunCommand>& commands);
   std::vector<Vm*> AllVms();
   bool CanStartRuns(const Job& job) const;
@@ -252,7 +259,10 @@
   /// By VM, as recorded by earlier owners.
   std::map<std::string, Millis> recorded_lease_expiries_;
   std::vector<JournalEntry> pending_deletions_;
-  std::map<std::string, std::int64_t> new_ends_;
+  /// VMs whose records have to be written, with their newest processed ends.
+  std::map<std::string, std::int64_t> dirty_vms_;
+  std::int64_t taken_batches_ = 0;
+  std::int64_t durable_batches_ = 0;
   /// Runs on VMs that belong to no task and have to be stopped, with the time
   /// of the last stop command.
   std::map<std::pair<std::string, RunKey>, Millis> orphaned_runs_;
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -50,8 +50,8 @@
 
 bool Scheduler::CanStartRuns(const Job& job) const {
   // Runs that earlier owners started but could not record appear only in the
-  // VMs' reports. So a job of an earlier owner starts no run until each VM has
-  // answered or its lease has expired.
+  // VMs' reports. So a job of an earlier owner starts no run until each VM that
+  // the journal listed has answered or its lease has expired.
   return job.accepted && (!job.inherited || HasCompleteRunState());
 }
 
@@ -180,6 +180,7 @@
   run.vm = vm.listing.id;
   run.created_at = run.last_command_at = run.progressed_at = now;
   run.starts_sent = 1;
+  run.journal_batch = taken_batches_ + 1;
   task.last_run = number;
   RunOnVm run_on_vm = MakeRunOnVm(spec);
   run_on_vm.pace_percent = place.pace_percent;
@@ -188,14 +189,11 @@
   commands.back().checkpoint = task.checkpoint;
   job.started = true;
   MarkProgressDirty(job);
-  // The journal entry lets a later owner find the VM even if it is no longer
-  // listed.
-  if (!vm.in_journal) new_ends_.try_emplace(vm.listing.id, vm.last_end);
-  vm.in_journal = true;
 }
 
-void Scheduler::IssueStop(const TaskRef& ref, Run& run, Millis now,
+bool Scheduler::IssueStop(const TaskRef& ref, Run& run, Millis now,
                           std::vector<RunCommand>& commands) {
+  if (run.journal_batch > durable_batches_) return false;
   RunCommand command;
   command.kind = RunCommandKind::kStop;
   command.vm = run.vm;
@@ -204,6 +202,7 @@
   commands.push_back(command);
   run.phase = RunPhase::kStopping;
   run.last_command_at = now;
+  return true;
 }
 
 void Scheduler::PlanRetries(Job& job, Millis now,
--- /dev/null
+++ b/tests/auto/cell/cell_member_test.cc
@@ -0,0 +1,102 @@
+#include "cell/cell_member.h"
+
+#include <catch2/catch.hpp>
+
+#include "auto/cell/cell_member_fixture.h"
+
+using namespace basilspur;        // NOLINT(google-build-using-namespace)
+using namespace basilspur::cell;  // NOLINT(google-build-using-namespace)
+
+static const ElectionSettings kSettings;
+static constexpr Millis kTick(50);
+
+TEST_CASE("a claim does not replace an owner that was read after it was made") {
+  CellMemberFixture fixture;
+  // The claim of "b" has been read, but its handler runs only after the tick
+  // that lets this entry campaign.
+  const std::int64_t token = fixture.AppendClaimOf("b");
+  for (Millis passed; passed <= kSettings.campaign_jitter;
+       passed = passed + kTick) {
+    fixture.clock.Advance(kTick);
+    fixture.member->Tick(0);
+  }
+  fixture.Pump();
+  CHECK(fixture.NewestRecord().node == "b");
+  CHECK(!fixture.member->Owns());
+  REQUIRE(fixture.member->KnownOwner());
+  CHECK(fixture.member->KnownOwner()->token == token);
+}
+
+TEST_CASE(
+    "a renewal does not replace an owner that was read after it was made") {
+  CellMemberFixture fixture;
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.TickFor(Millis(300));
+  fixture.AppendClaimOf("b");
+  fixture.clock.Advance(kSettings.renewal_interval);
+  fixture.member->Tick(1);
+  fixture.Pump();
+  CHECK(fixture.NewestRecord().node == "b");
+  CHECK(!fixture.member->Owns());
+}
+
+TEST_CASE(
+    "a hand-over that is repeated does not release a cell of its successor") {
+  CellMemberFixture fixture;
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.PumpFor(Millis(30));
+  // No attempt reaches the store, and "b" claims the cell between two of them.
+  fixture.store.newest_unreadable = true;
+  fixture.store.on_append_at = [&](auto&&...) {
+    fixture.store.on_append_at = nullptr;
+    return AppendAnswer();
+  };
+  net::asio::co_spawn(fixture.context, fixture.member->Yield(Millis(15'000)),
+                      net::asio::detached);
+  fixture.PumpFor(Millis(30));
+  REQUIRE(!fixture.store.on_append_at);
+  fixture.AppendClaimOf("b");
+  fixture.PumpFor(Millis(300));
+  CHECK(fixture.NewestRecord().node == "b");
+  CHECK(!fixture.NewestRecord().vacant);
+}
+
+TEST_CASE(
+    "a claim that is read after a request to step down begins no ownership") {
+  CellMemberFixture fixture;
+  fixture.store.watchers_cut = true;
+  fixture.store.newest_unreadable = true;
+  // The claim is stored, but its answer is lost.
+  fixture.store.on_append_at = [&](const Partition& partition, std::int64_t end,
+                                   const std::vector<KeyedRecord>& records) {
+    fixture.store.on_append_at = nullptr;
+    fixture.store.Append(partition, end, records);
+    return AppendAnswer();
+  };
+  for (int i = 0; i < 20 && fixture.store.on_append_at; ++i) {
+    fixture.TickFor(kTick);
+  }
+  REQUIRE(fixture.NewestRecord().node == "a");
+  fixture.member->OnStepDownRequest(/*token=*/1);
+  fixture.store.watchers_cut = false;
+  fixture.store.Append(fixture.partition, 1, {{"tails", {}, 0}});
+  fixture.Pump();
+  REQUIRE(fixture.member->KnownOwner());
+  CHECK(!fixture.member->Owns());
+  CHECK(fixture.ownerships.empty());
+}
+
+TEST_CASE("an owner whose renewals are not stored does not deny jobs") {
+  CellMemberFixture fixture;
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.PumpFor(Millis(30));
+  REQUIRE(fixture.AskFor("unknown") == ReplyKind::kNoSuchJob);
+  // The store answers reads only, so others count from the newest record.
+  fixture.store.on_append_at = [](auto&&...) { return AppendAnswer(); };
+  fixture.TickFor(kSettings.owner_timeout);
+  REQUIRE(fixture.member->Owns());
+  CHECK(fixture.AskFor("unknown") == ReplyKind::kNotOwner);
+}
--- a/tests/auto/jobs/scheduler_fixture.h
+++ b/tests/auto/jobs/scheduler_fixture.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_AUTO_JOBS_SCHEDULER_FIXTURE_H_
 #define TESTS_AUTO_JOBS_SCHEDULER_FIXTURE_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,7 +21,8 @@
   static EndedRunReport MakeEnd(std::int64_t number, const TaskRef& task,
                                 int run, RunEnd end);
 
-  /// Lists a VM with 16 cores, which reports that nothing runs there.
+  /// Lists a VM with 16 cores, which reports that nothing runs there, and makes
+  /// its record durable.
   void AddVm(const std::string& id, const std::string& rack = "r1");
   /// Submits a job and makes it durable.
   void Accept(const std::string& id, JobSpec spec);
@@ -37,8 +39,11 @@
   /// Answers a command with this outcome.
   void Answer(const RunCommand& command, RunCommandOutcome outcome);
   /// Returns the scheduler of a new owner, restored from the journal, with the
-  /// same VMs listed.
-  std::unique_ptr<Scheduler> TakeOver(int first_run_number);
+  /// same VMs listed. Calls `before_restore` with it while its journal is still
+  /// being read.
+  std::unique_ptr<Scheduler> TakeOver(
+      int first_run_number,
+      const std::function<void(Scheduler&)>& before_restore = {});
 
   Scheduler scheduler{SchedulerSettings{}};
   SchedulerSettings settings;
--- /dev/null
+++ b/tests/auto/jobs/successor_test.cc
@@ -0,0 +1,160 @@
+// What a new owner of a cell does before it knows all runs of its predecessors.
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "auto/jobs/scheduler_fixture.h"
+
+using namespace basilspur;        // NOLINT(google-build-using-namespace)
+using namespace basilspur::jobs;  // NOLINT(google-build-using-namespace)
+
+static const std::string kJob(16, 'a');
+static const TaskRef kTask{kJob, 0, 0, 0};
+static constexpr int kFirstRunOfSuccessor = 17;
+static constexpr Millis kTick(100);
+/// The users' bound for a long-running task without a run while there is
+/// capacity for it.
+static constexpr Millis kMaxTimeWithoutRun(3'000);
+
+static int CountStarts(const std::vector<RunCommand>& commands) {
+  return static_cast<int>(
+      std::count_if(commands.begin(), commands.end(), [](const auto& command) {
+        return command.kind == RunCommandKind::kStart;
+      }));
+}
+
+static VmReport EmptyReport(Millis now) {
+  VmReport report;
+  report.clock_ms = now.count;
+  return report;
+}
+
+static VmListing MakeListing(const std::string& id) {
+  VmListing listing;
+  listing.id = id;
+  listing.address = id + ":1";
+  listing.service = "workers";
+  listing.capacity = {16'000, 64'000, 0};
+  return listing;
+}
+
+/// Returns a successor whose list of VMs has only "known" so far, which has
+/// reported that nothing runs there.
+static std::unique_ptr<Scheduler> TakeOverKnowingOneVm(
+    SchedulerFixture& fixture) {
+  fixture.listings.clear();
+  fixture.listings.push_back(MakeListing("known"));
+  std::unique_ptr<Scheduler> successor = fixture.TakeOver(kFirstRunOfSuccessor);
+  successor->OnReport("known", EmptyReport(fixture.now), fixture.now,
+                      fixture.now);
+  fixture.now = fixture.now + kTick;
+  successor->OnDurable(successor->TakeBatch(fixture.wall_ms));
+  successor->OnReport("known", EmptyReport(fixture.now), fixture.now,
+                      fixture.now);
+  return successor;
+}
+
+TEST_CASE(
+    "a task is not started again while it runs on a VM that only the "
+    "predecessor knew") {
+  SchedulerFixture fixture;
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  fixture.scheduler.UpsertVm(MakeListing("new"), fixture.now);
+  fixture.Report("new", {});
+  // The predecessor ends before the journal holds anything of the plan.
+  const int started = CountStarts(fixture.Plan());
+  const std::unique_ptr<Scheduler> successor = TakeOverKnowingOneVm(fixture);
+  const int started_again =
+      CountStarts(successor->Plan(fixture.wall_ms, fixture.now));
+  CHECK(started + started_again <= 1);
+}
+
+TEST_CASE(
+    "a newly listed VM that never answers does not keep older jobs from "
+    "starting") {
+  SchedulerFixture fixture;
+  fixture.AddVm("known");
+  StepSpec step = fixture.MakeStep(1, 1'000);
+  step.long_running = true;
+  fixture.Accept(kJob, fixture.MakeJob({step}));
+  const std::unique_ptr<Scheduler> successor = TakeOverKnowingOneVm(fixture);
+  successor->UpsertVm(MakeListing("silent"), fixture.now);
+  const Millis listed_at = fixture.now;
+  int started = 0;
+  while (started == 0 && fixture.now - listed_at <= kMaxTimeWithoutRun) {
+    fixture.now = fixture.now + kTick;
+    successor->OnReport("known", EmptyReport(fixture.now), fixture.now,
+                        fixture.now);
+    started = CountStarts(successor->Plan(fixture.wall_ms, fixture.now));
+  }
+  CHECK(started == 1);
+}
+
+/// While a VM stops a run, the run is in none of the VM's lists. If it is in no
+/// journal either, a successor can't know of it.
+TEST_CASE("a run that is being stopped is known to a successor") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  REQUIRE(CountStarts(fixture.PlanAndConfirm()) == 1);
+  // The predecessor ends before the journal holds anything of the plan.
+  fixture.scheduler.Cancel(kJob, fixture.wall_ms);
+  const auto being_stopped = static_cast<int>(fixture.Plan().size());
+  const std::unique_ptr<Scheduler> successor =
+      fixture.TakeOver(kFirstRunOfSuccessor);
+  successor->OnReport("vm", EmptyReport(fixture.now), fixture.now, fixture.now);
+  const int started_again =
+      CountStarts(successor->Plan(fixture.wall_ms, fixture.now));
+  CHECK(being_stopped + started_again <= 1);
+}
+
+TEST_CASE("a cancelled run is stopped once the journal holds it") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  REQUIRE(CountStarts(fixture.PlanAndConfirm()) == 1);
+  fixture.scheduler.Cancel(kJob, fixture.wall_ms);
+  fixture.Flush();
+  const std::vector<RunCommand> commands = fixture.Plan();
+  REQUIRE(commands.size() == 1);
+  CHECK(commands[0].kind == RunCommandKind::kStop);
+}
+
+/// The platform's list changes while the successor still reads the journal.
+TEST_CASE("a change of the VM list during a take-over voids no run end") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.AddVm("leaving");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  const std::vector<RunCommand> started = fixture.PlanAndConfirm();
+  REQUIRE(CountStarts(started) == 1);
+  fixture.Flush();
+  const std::string used = started[0].vm;
+  const std::string other = used == "vm" ? "leaving" : "vm";
+  const std::unique_ptr<Scheduler> successor = fixture.TakeOver(
+      kFirstRunOfSuccessor,
+      [&](Scheduler& scheduler) { scheduler.UnlistVm(other); });
+  VmReport report = EmptyReport(fixture.now);
+  report.ended = {fixture.MakeEnd(1, kTask, 1, RunEnd::kDone)};
+  successor->OnReport(used, report, fixture.now, fixture.now);
+  successor->OnReport(other, EmptyReport(fixture.now), fixture.now,
+                      fixture.now);
+  CHECK(CountStarts(successor->Plan(fixture.wall_ms, fixture.now)) == 0);
+  successor->OnDurable(successor->TakeBatch(fixture.wall_ms));
+  CHECK(successor->VisibleStateOf(kJob) == VisibleJobState::kDone);
+}
+
+TEST_CASE("a VM that leaves the list during a take-over is still awaited") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.AddVm("leaving");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  const std::unique_ptr<Scheduler> successor = fixture.TakeOver(
+      kFirstRunOfSuccessor,
+      [&](Scheduler& scheduler) { scheduler.UnlistVm("leaving"); });
+  successor->OnReport("vm", EmptyReport(fixture.now), fixture.now, fixture.now);
+  CHECK(CountStarts(successor->Plan(fixture.wall_ms, fixture.now)) == 0);
+  for (const JournalEntry& entry :
+       successor->TakeBatch(fixture.wall_ms).entries) {
+    CHECK(entry.key != "vleaving");
+  }
+}
