--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -70,7 +70,8 @@
   /// A VM on which no earlier owner can have runs.
   explicit Vm(VmListing listing);
 
-  /// Returns the deadline, on the VM's clock, of a lease that begins now. Empty
+  /// Returns the deadline, on the VM's clock, of a lease that begins now, if
+  /// that clock is as slow as it may be; a little earlier otherwise. Empty
   /// before the first report.
   std::optional<std::int64_t> LeaseDeadline(Millis lease, Millis now) const;
   /// Earlier owners may have started runs on the VM, and leased it until
--- a/tests/auto/cell/cell_member_fixture.h
+++ b/tests/auto/cell/cell_member_fixture.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_AUTO_CELL_CELL_MEMBER_FIXTURE_H_
 #define TESTS_AUTO_CELL_CELL_MEMBER_FIXTURE_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,6 +26,8 @@
 
   std::vector<Renewal> renewals;
   std::vector<jobs::RunCommand> commands;
+  /// Called before each answer to a renewal.
+  std::function<void()> before_answer;
   /// The reports of VMs that answer renewals.
   std::map<std::string, jobs::VmReport> reports;
 };
@@ -54,7 +57,8 @@
   std::int64_t AppendRecord(const OwnerRecord& record);
   /// The newest owner record in the store.
   OwnerRecord NewestRecord();
-  /// Lists a VM with 16 cores, which reports `running`.
+  /// Lists a VM with 16 cores, which reports `running`, and writes it to the
+  /// journal, as owners do before they use a VM.
   void AddVm(const std::string& id,
              std::vector<jobs::RunningRunReport> running = {});
   /// Writes a job with one task to the journal, of which `last_run` was the
