Add directed tests of four faults that the simulation found

A task's record lists several VMs and one run number. A successor restores a run of this number on each VM, finds the one on the other VM when the end is reported, and ignores the end, but acknowledges it.

--- a/tests/sim/link_faults.h
+++ b/tests/sim/link_faults.h
@@ -4,6 +4,8 @@
 #include <set>
 #include <string>
 
+#include "base/clock.h"
+
 namespace basilspur::sim {
 
 /// How the store treats a node's calls.
@@ -11,6 +13,7 @@
   kNormal,
   kRefused,     ///< Answers that nothing was done.
   kSilent,      ///< Nothing is done and nothing answered.
+  kReadOnly,    ///< Appends are neither done nor answered.
   kLosesCalls,  ///< Some calls are not answered, or executed late or never.
 };
 
@@ -20,6 +23,8 @@
 struct LinkFaults {
   StoreAccess store = StoreAccess::kNormal;
   bool peers_cut = false;
+  /// Added to the delay of the list of VMs and of its changes.
+  Millis directory_delay;
   std::set<std::string> cut_vms;    ///< Ids of VMs without a path.
   std::set<std::string> lossy_vms;  ///< Ids of VMs whose answers may be lost.
 };
--- a/tests/sim/promise_checker.cc
+++ b/tests/sim/promise_checker.cc
@@ -70,10 +70,16 @@
   if (!fits) Report("LIMIT: " + text);
   CheckDependencies(task);
   state.runs[vm] = run;
+  ++state.starts;
   state.last_start = clock_.Monotonic();
   state.last_start_text = text;
 }
 
+int PromiseChecker::StartsOf(const jobs::TaskRef& task) const {
+  const auto found = tasks_.find(task);
+  return found == tasks_.end() ? 0 : found->second.starts;
+}
+
 void PromiseChecker::OnEnd(const std::string& vm,
                            const jobs::EndedRunReport& end) {
   trace_.Add("end " + end.task.ToString() + " run=" + std::to_string(end.run) +
--- a/tests/sim/promise_checker.h
+++ b/tests/sim/promise_checker.h
@@ -40,6 +40,8 @@
   /// The VM and all its runs are gone.
   void OnVmGone(const std::string& vm);
 
+  /// Number of runs of the task that were started.
+  int StartsOf(const jobs::TaskRef& task) const;
   /// Accepted jobs in the order of their ids.
   const std::set<std::string>& Accepted() const { return accepted_; }
   /// Reports what was lost after a calm period: accepted jobs that are not in
@@ -59,6 +61,7 @@
   struct TaskState {
     std::map<std::string, int> runs;  ///< Present runs by VM.
     std::vector<DoneEnd> done;
+    int starts = 0;
     Millis last_start;
     std::string last_start_text;
     int failures = 0;
--- a/tests/sim/simulated_store_client.cc
+++ b/tests/sim/simulated_store_client.cc
@@ -40,6 +40,7 @@
       co_return refused;
     }
     case StoreAccess::kSilent:
+    case StoreAccess::kReadOnly:
       co_return std::nullopt;
     case StoreAccess::kLosesCalls: {
       if (!random_.Chance(kLostAnswers)) break;
--- a/tests/sim/simulated_vm.h
+++ b/tests/sim/simulated_vm.h
@@ -45,6 +45,7 @@
  private:
   struct ActiveRun {
     int number = 0;
+    Millis started_at;
     Millis ends_at;
     bool endless = false;
     bool stopping = false;
@@ -59,6 +60,7 @@
   cell::CommandAnswer Start(const jobs::RunCommand& command,
                             const records::Resources& need,
                             std::int64_t deadline_ms);
+  int PercentOf(const ActiveRun& run) const;
   cell::CommandAnswer Stop(const jobs::RunCommand& command);
   bool IsStale(std::int64_t token);
   void Extend(std::int64_t deadline_ms);
