--- a/tests/sim/simulated_cell.h
+++ b/tests/sim/simulated_cell.h
@@ -89,6 +89,8 @@
                                        int number, Millis grace);
   void ChangeListing(const jobs::VmListing& listing, bool listed,
                      Millis max_delay);
+  /// Whether a listed VM that is up has room for two such tasks.
+  bool HasRoomTwiceOver(const records::Resources& need) const;
   int RandomNode();
   void Settle();
   records::Resources NeedOf(const jobs::TaskRef& task) const;
--- a/tests/sim/simulated_vm.h
+++ b/tests/sim/simulated_vm.h
@@ -37,6 +37,9 @@
   /// Another incarnation has taken over the address.
   void Replace() { replaced_ = true; }
 
+  bool HasRoomFor(const records::Resources& need) const {
+    return (Used() + need).FitsIn(listing_.capacity);
+  }
   bool IsUp() const { return up_; }
   bool IsReplaced() const { return replaced_; }
   const jobs::VmListing& Listing() const { return listing_; }
