--- a/tests/sim/simulated_vm.h
+++ b/tests/sim/simulated_vm.h
@@ -37,6 +37,9 @@
   /// Another incarnation has taken over the address.
   void Replace() { replaced_ = true; }
 
+  bool HasRoomFor(const records::Resources& need) const {
+    return (Used() + need).FitsIn(listing_.capacity);
+  }
   bool IsUp() const { return up_; }
   bool IsReplaced() const { return replaced_; }
   const jobs::VmListing& Listing() const { return listing_; }
@@ -45,6 +48,7 @@
  private:
   struct ActiveRun {
     int number = 0;
+    Millis started_at;
     Millis ends_at;
     bool endless = false;
     bool stopping = false;
@@ -59,6 +63,7 @@
   cell::CommandAnswer Start(const jobs::RunCommand& command,
                             const records::Resources& need,
                             std::int64_t deadline_ms);
+  int PercentOf(const ActiveRun& run) const;
   cell::CommandAnswer Stop(const jobs::RunCommand& command);
   bool IsStale(std::int64_t token);
   void Extend(std::int64_t deadline_ms);
