--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -110,6 +110,11 @@
   net::asio::co_spawn(context_, RunRenewals(listing.id), net::asio::detached);
 }
 
+std::vector<jobs::UnreachableVm> CellOwner::CollectUnreachableVms() {
+  if (!ready_) return ownership_.unreachable_vms;
+  return scheduler_.CollectUnreachableVms(Now());
+}
+
 void CellOwner::OnPredecessorsStopped() {
   predecessors_stopped_ = true;
   scheduler_.BoundInheritedLeases(Now());
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -123,10 +123,9 @@
   void MergeTails(int cell, const jobs::TailRecord& record);
   /// Returns the unreachable VMs to list in an owner record that is about to be
   /// written. Their leases are not extended until a record that omits them is
-  /// in force.
-  std::vector<jobs::UnreachableVm> CollectUnreachableVms() {
-    return scheduler_.CollectUnreachableVms(Now());
-  }
+  /// in force. An owner that is not ready does not know the VMs' leases yet, so
+  /// it repeats what the previous owner recorded.
+  std::vector<jobs::UnreachableVm> CollectUnreachableVms();
   /// The owner record that lists exactly the VMs in `recorded` is in force.
   void OnUnreachableVmsRecorded(
       const std::vector<jobs::UnreachableVm>& recorded) {
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -137,10 +137,10 @@
 void Scheduler::OnUnreachableVmsRecorded(
     const std::vector<UnreachableVm>& recorded_vms) {
   recorded_lease_expiries_.clear();
-  std::set<std::string> unreachable;
-  for (const UnreachableVm& vm : recorded_vms) unreachable.insert(vm.vm);
+  for (const UnreachableVm& vm : recorded_vms)
+    recorded_lease_expiries_[vm.vm] = vm.lease_expiry;
   for (auto& [id, vm] : vms_)
-    vm->lease_bound_recorded = unreachable.contains(id);
+    vm->lease_bound_recorded = recorded_lease_expiries_.contains(id);
 }
 
 void Scheduler::Activate(Job& job) {
--- a/tests/auto/cell/cell_member_test.cc
+++ b/tests/auto/cell/cell_member_test.cc
@@ -116,3 +116,38 @@
   fixture.TickFor(kSettings.renewal_interval * 2);
   CHECK(fixture.store.conditional_appends > before);
 }
+
+/// The owner does not know the VMs' leases before it has read the journal, and
+/// its successor ends runs by what it records.
+TEST_CASE("an owner that still reads the journal records no lease as expired") {
+  CellMemberFixture fixture;
+  fixture.AddVm("vm");
+  fixture.Pump();
+  fixture.store.newest_unreadable = true;
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.TickFor(Millis(3'000));
+  REQUIRE(!fixture.member->Owner()->IsReady());
+  REQUIRE(fixture.NewestRecord().token >= 0);
+  CHECK(fixture.NewestRecord().unreachable_vms.empty());
+}
+
+TEST_CASE("an owner that still reads the journal repeats the recorded leases") {
+  CellMemberFixture fixture;
+  fixture.AddVm("vm");
+  OwnerRecord previous = CellMemberFixture::MakeRecord("b");
+  previous.unreachable_vms = {{"vm", 10'000}};
+  fixture.AppendRecord(previous);
+  fixture.Pump();
+  fixture.store.newest_unreadable = true;
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.TickFor(Millis(1'200));
+  REQUIRE(!fixture.member->Owner()->IsReady());
+  const OwnerRecord record = fixture.NewestRecord();
+  REQUIRE(record.token >= 0);
+  REQUIRE(record.unreachable_vms.size() == 1);
+  CHECK(record.unreachable_vms[0].vm == "vm");
+  CHECK(record.unreachable_vms[0].lease_remaining_ms <= 10'000);
+  CHECK(record.unreachable_vms[0].lease_remaining_ms > 0);
+}
