jobs: Charge a run that belongs to no task until it has stopped

Callers would see a VM filled over its room (LIMIT): a run that the owner finds on a VM without knowing it is stopped, and for up to 0.9 s the VM lists it neither as running nor as ended. The first report without it released its charge. Runs of tasks wait for that time; these did not.

--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -201,6 +201,8 @@
   /// Updates a run that is missing from the report to a renewal that was sent
   /// at `sent`. Returns true if the run has certainly ended.
   bool UpdateAbsentRun(Run& run, Millis sent) const;
+  /// The same for a run that belongs to no task.
+  bool UpdateAbsentOrphan(RunOnVm& run, Millis sent) const;
   void ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent);
   void ReleaseRun(Vm& vm, const TaskRef& ref, int number);
   void ReleaseAllRuns(Vm& vm);
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -93,6 +93,7 @@
     // The resources of the run are unknown. All free capacity is charged, so
     // that nothing else is placed beside it.
     vm.Add(key, {vm.Free(), 0, 0});
+    vm.FindRun(key)->absent_since = Millis(0);
     orphaned_runs_.try_emplace({vm.listing.id, key}, Millis(0));
     return;
   }
@@ -144,6 +145,12 @@
          run.confirmed_at + settings_.max_stop_duration + settings_.stop_margin;
 }
 
+bool Scheduler::UpdateAbsentOrphan(RunOnVm& run, Millis sent) const {
+  if (run.absent_since == Millis(0)) run.absent_since = sent;
+  return sent >
+         run.absent_since + settings_.max_stop_duration + settings_.stop_margin;
+}
+
 void Scheduler::ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent) {
   std::vector<RunKey> absent;
   for (const auto& [key, charge] : vm.Runs()) {
@@ -156,11 +163,9 @@
     Job* job = FindJob(key.first.job);
     Task* task = job ? job->Find(key.first) : nullptr;
     Run* run = task ? task->FindRun(key.second, vm.listing.id) : nullptr;
-    if (!run) {
-      absent.push_back(key);
-      continue;
-    }
-    if (UpdateAbsentRun(*run, sent)) absent.push_back(key);
+    const bool ended = run ? UpdateAbsentRun(*run, sent)
+                           : UpdateAbsentOrphan(*vm.FindRun(key), sent);
+    if (ended) absent.push_back(key);
   }
   for (const RunKey& key : absent) {
     ReleaseRun(vm, key.first, key.second);
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -28,6 +28,9 @@
   std::int64_t measurement = 0;  ///< See RunningRunReport.
   /// The VM has confirmed the start or reported the run.
   bool confirmed = false;
+  /// For a run that belongs to no task: when the first report without it was
+  /// requested; 0: the last report lists it.
+  Millis absent_since = {};
   /// Pace decided for a best-effort run, as a percentage of its full speed.
   int pace_percent = 100;
   int commanded_pace_percent = 100;  ///< Pace in the last command to the VM.
--- a/tests/auto/jobs/runs_of_earlier_owners_test.cc
+++ b/tests/auto/jobs/runs_of_earlier_owners_test.cc
@@ -58,8 +58,7 @@
 
 TEST_CASE(
     "a run that belongs to no task is charged until it has stopped, also while "
-    "the VM lists it neither as running nor as ended",
-    "[known-red]") {
+    "the VM lists it neither as running nor as ended") {
   SchedulerFixture fixture;
   fixture.AddVm("a");
   fixture.Report("a", {MakeRunning(1)});
