jobs: Tell the records of a VM that is listed again apart

(1) Its new life at this owner counted as listed by the old record, which the next batch deletes: runs were started on a VM that no successor would wait for (TWICE). (2) If it did not come back, the deletion was followed by a record without an address, for which each later owner waited until the longest lease was over (LOST, jobs without a run for up to 17.5 s).

A VM remembers the batch that lists it first; removing it drops a pending record.

--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -226,9 +226,10 @@
   }
   dirty_jobs_.clear();
   for (const auto& [vm, end] : dirty_vms_) {
-    const std::string address = FindVm(vm) ? FindVm(vm)->listing.address : "";
+    Vm& known = *FindVm(vm);
+    if (known.journal_batch == 0) known.journal_batch = batch.number;
     batch.entries.push_back(
-        {"v" + vm, records::Encode(VmRecord{end, address})});
+        {"v" + vm, records::Encode(VmRecord{end, known.listing.address})});
   }
   moved_.TakeChanges(batch);
   batch.ends = std::move(dirty_vms_);
@@ -249,7 +250,10 @@
   }
   for (const auto& [id, end] : batch.ends) {
     Vm* vm = FindVm(id);
-    if (!vm) continue;
+    // A VM that was removed and listed again since has a newer record to come.
+    const bool is_listed_by =
+        vm && (vm->in_journal || vm->journal_batch == batch.number);
+    if (!is_listed_by) continue;
     vm->durable_end = end;
     vm->in_journal = true;
   }
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -287,7 +287,10 @@
     }
     all_vms_reconciled_ = all_vms_reconciled_ && vm.reconciled;
     const bool removable = !vm.listed && vm.Runs().empty() && vm.lease_expired;
-    if (removable) pending_deletions_.push_back({"v" + it->first, {}});
+    if (removable) {
+      pending_deletions_.push_back({"v" + it->first, {}});
+      dirty_vms_.erase(it->first);
+    }
     it = removable ? vms_.erase(it) : std::next(it);
   }
 }
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -126,6 +126,8 @@
   /// The journal lists the VM, so a successor will wait until the VM has
   /// answered or its lease has expired. No run is started on the VM before.
   bool in_journal = false;
+  /// Number of this owner's first journal batch that lists the VM; 0: none.
+  std::int64_t journal_batch = 0;
   /// The journal listed the VM when this owner took over, so earlier owners may
   /// have runs there that are in no record.
   bool inherited = false;
--- a/tests/auto/jobs/successor_test.cc
+++ b/tests/auto/jobs/successor_test.cc
@@ -191,3 +191,38 @@
   third->OnDurable(third->TakeBatch(fixture.wall_ms));
   CHECK(third->VisibleStateOf(kJob) == VisibleJobState::kDone);
 }
+
+/// The VM leaves the list and comes back while the append that lists it in the
+/// journal has no answer. Its record is then deleted and has to be written
+/// again.
+TEST_CASE("a VM that is listed again is used once its new record is durable") {
+  SchedulerFixture fixture;
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  fixture.scheduler.UpsertVm(MakeListing("new"), fixture.now);
+  fixture.Report("new", {});
+  const JournalBatch pending = fixture.scheduler.TakeBatch(fixture.wall_ms);
+  fixture.scheduler.UnlistVm("new");
+  fixture.scheduler.OnVmUnreachable("new", fixture.now);
+  fixture.now = fixture.now + fixture.settings.lease_duration * 2;
+  fixture.Plan();
+  fixture.scheduler.UpsertVm(MakeListing("new"), fixture.now);
+  fixture.Report("new", {});
+  fixture.Write(pending);
+  fixture.scheduler.OnDurable(pending);
+  CHECK(CountStarts(fixture.Plan()) == 0);
+  fixture.Flush();
+  CHECK(fixture.journal.contains("vnew"));
+  CHECK(CountStarts(fixture.Plan()) == 1);
+}
+
+TEST_CASE("the record of a VM that has been removed is not written again") {
+  SchedulerFixture fixture;
+  fixture.scheduler.UpsertVm(MakeListing("vm"), fixture.now);
+  fixture.Report("vm", {});
+  fixture.scheduler.UnlistVm("vm");
+  fixture.scheduler.OnVmUnreachable("vm", fixture.now);
+  fixture.now = fixture.now + fixture.settings.lease_duration * 2;
+  fixture.Plan();
+  fixture.Flush();
+  CHECK(!fixture.journal.contains("vvm"));
+}
