jobs: Restore the runs of finished tasks, too

Their room counted as free while they ran or were being stopped (LIMIT).

On the code before:

a run of a finished task is charged after a change of owner CHECK( ...free_cpu_millis <= 8'000 ) with expansion: 16000 <= 8000

--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -136,8 +136,8 @@
     started = true;
     if (saved.done) {
       ++FindOccurrence(saved.occurrence)->steps[saved.step].done;
-      continue;
     }
+    // Other runs of a finished task may still be executing.
     for (std::size_t i = 0; i < saved.vms.size(); ++i) {
       Run run;
       run.number =
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -188,11 +188,11 @@
   }
   const bool known = run || unjournaled;
   ReleaseRun(vm, row.task, row.run);
-  if (!known || task->done || IsFinal(job->record.status)) return;
+  if (!known || IsFinal(job->record.status)) return;
   task->last_run = std::max(task->last_run, row.run);
   job->started = true;
   MarkProgressDirty(*job);
-  if (lease_expired) return;
+  if (lease_expired || task->done) return;
   if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
   if (row.end == RunEnd::kDone) {
     vm.consecutive_failures = 0;
--- a/tests/auto/jobs/successor_test.cc
+++ b/tests/auto/jobs/successor_test.cc
@@ -226,3 +226,22 @@
   fixture.Flush();
   CHECK(!fixture.journal.contains("vvm"));
 }
+/// Two runs of a task are under way when one of them ends as done.
+TEST_CASE("a run of a finished task is charged after a change of owner") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  StepSpec step = fixture.MakeStep(2, 8'000);
+  step.gang = true;
+  fixture.Accept(kJob, fixture.MakeJob({step, fixture.MakeStep(1, 1'000)}));
+  REQUIRE(CountStarts(fixture.PlanAndConfirm()) == 2);
+  // One member's end stands for all of them; the other member still runs.
+  const TaskRef other{kJob, 0, 0, 1};
+  fixture.Report("vm", {{other, 1, "", 99, 0}},
+                 {fixture.MakeEnd(1, kTask, 1, RunEnd::kDone)});
+  fixture.Flush();
+  const std::unique_ptr<Scheduler> successor =
+      fixture.TakeOver(kFirstRunOfSuccessor);
+  VmReport report = EmptyReport(fixture.now);
+  successor->OnReport("vm", report, fixture.now, fixture.now);
+  CHECK(successor->Summary(fixture.now).free_cpu_millis <= 8'000);
+}
