jobs: Close a VM while a run of unknown needs may execute there

On the code before:

no run is placed beside one that belongs to no task CHECK( CountStarts(successor->Plan(...)) == 0 ) with expansion: 1 == 0

A VM now has no free capacity while such a run is charged.

--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -90,9 +90,9 @@
     MarkProgressDirty(*job);
   }
   if (!run) {
-    // The resources of the run are unknown. All free capacity is charged, so
-    // that nothing else is placed beside it.
-    vm.Add(key, {vm.Free(), 0, 0});
+    RunOnVm orphan;
+    orphan.needs_unknown = true;
+    vm.Add(key, orphan);
     vm.FindRun(key)->absent_since = Millis(0);
     orphaned_runs_.try_emplace({vm.listing.id, key}, Millis(0));
     return;
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -65,9 +65,15 @@
          kLeaseExpiryMargin;
 }
 
+records::Resources Vm::Free() const {
+  if (unknown_run_count_ > 0) return {};
+  return listing.capacity - used_;
+}
+
 void Vm::Add(const RunKey& key, const RunOnVm& run) {
   if (!runs_.emplace(key, run).second) return;
   tail_predictions.clear();
+  if (run.needs_unknown) ++unknown_run_count_;
   used_ = used_ + run.charge;
   best_effort_cpu_millis_ += run.best_effort_cpu_millis;
   if (run.tail_target_ms <= 0) return;
@@ -81,6 +87,7 @@
   tail_predictions.clear();
   used_ = used_ - found->second.charge;
   best_effort_cpu_millis_ -= found->second.best_effort_cpu_millis;
+  if (found->second.needs_unknown) --unknown_run_count_;
   if (found->second.tail_target_ms > 0) {
     --serving_run_count_;
     serving_cpu_millis_ -= found->second.charge.cpu_millis;
@@ -95,6 +102,7 @@
   best_effort_cpu_millis_ = 0;
   serving_run_count_ = 0;
   serving_cpu_millis_ = 0;
+  unknown_run_count_ = 0;
 }
 
 const Reservation* Vm::ReservationOfOther(const TaskRef& task,
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -19,6 +19,8 @@
 /// A run whose resources are charged to a VM.
 struct RunOnVm {
   records::Resources charge;  ///< Resources charged to the VM's capacity.
+  /// The run belongs to no task, so it is not known what it needs.
+  bool needs_unknown = false;
   /// Processor time needed by a best-effort run; 0 for other runs.
   std::int64_t best_effort_cpu_millis = 0;
   std::int64_t tail_target_ms = 0;  ///< Tail latency target; 0: none.
@@ -99,8 +101,9 @@
   void Remove(const RunKey& key);
   void Clear();
 
-  /// Capacity that is not charged to any run.
-  records::Resources Free() const { return listing.capacity - used_; }
+  /// Capacity that is not charged to any run; none while a run whose needs are
+  /// unknown may be executing.
+  records::Resources Free() const;
   std::int64_t BestEffortCpuMillis() const { return best_effort_cpu_millis_; }
   /// Number of runs with a tail latency target.
   int ServingRunCount() const { return serving_run_count_; }
@@ -153,6 +156,7 @@
   std::int64_t best_effort_cpu_millis_ = 0;
   int serving_run_count_ = 0;
   std::int64_t serving_cpu_millis_ = 0;
+  int unknown_run_count_ = 0;  ///< Runs whose needs are unknown.
   std::map<RunKey, RunOnVm> runs_;
   bool clock_known_ = false;
   std::int64_t clock_ms_ = 0;
--- a/tests/auto/jobs/successor_test.cc
+++ b/tests/auto/jobs/successor_test.cc
@@ -245,3 +245,27 @@
   successor->OnReport("vm", report, fixture.now, fixture.now);
   CHECK(successor->Summary(fixture.now).free_cpu_millis <= 8'000);
 }
+/// The successor knows the VM from the journal only, without its capacity, when
+/// it finds a run there that belongs to no task.
+TEST_CASE("no run is placed beside one that belongs to no task") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 8'000)}));
+  REQUIRE(CountStarts(fixture.PlanAndConfirm()) == 1);
+  fixture.Flush();
+  const VmListing listing = fixture.listings[0];
+  fixture.listings.clear();
+  const std::unique_ptr<Scheduler> successor =
+      fixture.TakeOver(kFirstRunOfSuccessor);
+  VmReport report = EmptyReport(fixture.now);
+  report.running = {{kTask, 1, "", 10, 0}, {{"unknown", 0, 0, 0}, 1, "", 0, 0}};
+  successor->OnReport("vm", report, fixture.now, fixture.now);
+  successor->UpsertVm(listing, fixture.now);
+  successor->OnReport("vm", report, fixture.now, fixture.now);
+  const std::string other(16, 'b');
+  successor->Submit(other, fixture.queue,
+                    fixture.MakeJob({fixture.MakeStep(1, 4'000)}),
+                    fixture.wall_ms, fixture.now);
+  successor->OnDurable(successor->TakeBatch(fixture.wall_ms));
+  CHECK(CountStarts(successor->Plan(fixture.wall_ms, fixture.now)) == 0);
+}
