jobs: Give each late job one run before another one gets more

What callers saw (LOST): at the end of a long load, late best-effort jobs with nothing running, beside others with dozens of runs. Jobs that were started after they had been deferred came before those that were not started, with all their tasks; and relief runs are few, one a VM.

On the code before:

a late job with many tasks does not keep other late jobs waiting CHECK( waiting.empty() ) false

Jobs that are late gain nothing from being first, so each of them that has nothing running gets one task before any of them gets more. Jobs that are on time still come before all of these.

--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -184,6 +184,13 @@
   /// Sorts by the queue's priority, then by the time of acceptance.
   using ActiveJobKey = std::pair<int, std::pair<std::int64_t, std::string>>;
 
+  /// A job's turn in a plan: all of its waiting tasks, or the first one only.
+  struct Turn {
+    Job* job;
+    JobTier tier;
+    bool first_task_only;
+  };
+
   Job* FindJob(const std::string& id);
   Vm* FindVm(const std::string& id);
   /// Returns the VM, which an earlier owner may have used.
@@ -218,6 +225,11 @@
   void PlanStep(Job& job, Occurrence& occurrence, int step,
                 const std::vector<Vm*>& vms, Millis now,
                 std::vector<RunCommand>& commands);
+  void PlanFirstTask(Job& job, const std::vector<Vm*>& vms, Millis now,
+                     std::vector<RunCommand>& commands);
+  /// Returns false if no VM can host the task.
+  bool PlanTask(Job& job, const TaskRef& ref, const std::vector<Vm*>& vms,
+                Millis now, std::vector<RunCommand>& commands);
   void PlanGang(Job& job, Occurrence& occurrence, int step, Millis now,
                 std::vector<RunCommand>& commands);
   /// Starts one best-effort task of each job of which nothing has run for
@@ -256,8 +268,9 @@
                  std::vector<RunCommand>& commands);
   std::vector<Vm*> AllVms();
   bool CanStartRuns(const Job& job) const;
-  /// Active jobs by priority, then by tier, then by the time of acceptance.
-  std::vector<Job*> JobsInSchedulingOrder() const;
+  /// The turns of active jobs by priority, then by tier, then by the time of
+  /// acceptance.
+  std::vector<Turn> TurnsInSchedulingOrder() const;
   void UpdateTier(Job& job, Millis now);
   /// Updates since when nothing of the job runs though a task waits.
   void UpdateIdleTime(Job& job, Millis now);
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <tuple>
 
 #include "jobs/scheduler.h"
 
@@ -26,8 +27,13 @@
     }
   }
   if (check) PlanReliefRuns(vms, now, commands);
-  for (Job* job : JobsInSchedulingOrder()) {
-    if (CanStartRuns(*job)) PlanJob(*job, vms, now, commands);
+  for (const Turn& turn : TurnsInSchedulingOrder()) {
+    if (!CanStartRuns(*turn.job)) continue;
+    if (turn.first_task_only) {
+      PlanFirstTask(*turn.job, vms, now, commands);
+    } else {
+      PlanJob(*turn.job, vms, now, commands);
+    }
   }
   if (!check) return commands;
   for (auto& [key, job] : active_jobs_) UpdateIdleTime(*job, now);
@@ -40,15 +46,31 @@
   if (queue) job.tier = tier_policy_.TierOf(job, *queue, now);
 }
 
-std::vector<Job*> Scheduler::JobsInSchedulingOrder() const {
-  std::vector<Job*> jobs;
-  jobs.reserve(active_jobs_.size());
-  for (const auto& [key, job] : active_jobs_) jobs.push_back(job);
-  std::stable_sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
-    return std::pair(a->record.priority, a->tier) <
-           std::pair(b->record.priority, b->tier);
-  });
-  return jobs;
+static bool IsDeferred(const Job& job) {
+  return job.tier == JobTier::kDeferred ||
+         job.tier == JobTier::kDeferredStarted;
+}
+
+std::vector<Scheduler::Turn> Scheduler::TurnsInSchedulingOrder() const {
+  std::vector<Turn> turns;
+  turns.reserve(active_jobs_.size());
+  for (const auto& [key, job] : active_jobs_) {
+    turns.push_back({job, job->tier, /*first_task_only=*/false});
+    // Deferred jobs are late already, so each gets one run before another one
+    // gets more.
+    if (IsDeferred(*job) && job->idle_since != Millis(0)) {
+      turns.push_back(
+          {job, JobTier::kDeferredStarted, /*first_task_only=*/true});
+    }
+  }
+  const auto rank = [](const Turn& turn) {
+    return std::tuple(turn.job->record.priority, turn.tier,
+                      !turn.first_task_only);
+  };
+  std::stable_sort(
+      turns.begin(), turns.end(),
+      [&](const Turn& a, const Turn& b) { return rank(a) < rank(b); });
+  return turns;
 }
 
 bool Scheduler::CanStartRuns(const Job& job) const {
@@ -100,26 +122,43 @@
   return std::max(task.last_run + 1, job.inherited ? first_run_number_ : 1);
 }
 
+void Scheduler::PlanFirstTask(Job& job, const std::vector<Vm*>& vms, Millis now,
+                              std::vector<RunCommand>& commands) {
+  auto ref = FirstWaitingTask(job, /*best_effort=*/true, now);
+  if (!ref) ref = FirstWaitingTask(job, /*best_effort=*/false, now);
+  if (!ref || job.record.spec.steps[ref->step].gang) return;
+  PlanTask(job, *ref, vms, now, commands);
+}
+
 void Scheduler::PlanStep(Job& job, Occurrence& occurrence, int step,
                          const std::vector<Vm*>& vms, Millis now,
                          std::vector<RunCommand>& commands) {
-  std::vector<Task>& tasks = occurrence.steps[step].tasks;
-  const StepSpec& spec = job.record.spec.steps[step];
+  const std::vector<Task>& tasks = occurrence.steps[step].tasks;
   for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
     if (!NeedsRun(tasks[index], now)) continue;
-    if (unplaceable_.Covers(spec, job.record.service)) return;
     const TaskRef ref{job.id, occurrence.number, step, index};
-    const Placement place = placer_.SelectPlacement(
-        vms, spec, job.record.service, ref, tasks[index], tasks, now);
-    if (!place.vm) {
-      if (spec.long_running) {
-        ReserveCapacityFor(ref, spec, job.record.service, vms, now);
-      }
-      unplaceable_.Add(spec, job.record.service);
-      return;
-    }
-    StartTask(job, ref, place, NextRunNumber(job, tasks[index]), now, commands);
+    if (!PlanTask(job, ref, vms, now, commands)) return;
+  }
+}
+
+bool Scheduler::PlanTask(Job& job, const TaskRef& ref,
+                         const std::vector<Vm*>& vms, Millis now,
+                         std::vector<RunCommand>& commands) {
+  const StepSpec& spec = job.record.spec.steps[ref.step];
+  const std::string& service = job.record.service;
+  if (unplaceable_.Covers(spec, service)) return false;
+  const std::vector<Task>& tasks =
+      job.FindOccurrence(ref.occurrence)->steps[ref.step].tasks;
+  const Task& task = tasks[ref.index];
+  const Placement place =
+      placer_.SelectPlacement(vms, spec, service, ref, task, tasks, now);
+  if (!place.vm) {
+    if (spec.long_running) ReserveCapacityFor(ref, spec, service, vms, now);
+    unplaceable_.Add(spec, service);
+    return false;
   }
+  StartTask(job, ref, place, NextRunNumber(job, task), now, commands);
+  return true;
 }
 
 void Scheduler::PlanGang(Job& job, Occurrence& occurrence, int step, Millis now,
@@ -196,6 +235,7 @@
   if (!place.relief) job.started_by_relief_only = false;
   if (place.relief && !job.started) job.started_by_relief_only = true;
   job.started = true;
+  job.idle_since = Millis(0);
   MarkProgressDirty(job);
 }
 
--- a/tests/auto/jobs/starvation_test.cc
+++ b/tests/auto/jobs/starvation_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "auto/jobs/scheduler_fixture.h"
 
@@ -253,6 +254,31 @@
   CHECK(cell.RunsOf("old") >= 1);
 }
 
+/// More jobs than relief runs may be at work at a time are late at once, and
+/// the first of them has tasks enough to take all processors for long.
+TEST_CASE("a late job with many tasks does not keep other late jobs waiting") {
+  BestEffortCell cell(2);
+  cell.SetObjective(2);
+  cell.AcceptBestEffort("light-mean", "light", 16);
+  cell.Run(kLightRunTime * 2);
+  cell.AcceptBestEffort("light-before", "light", 16 * 3);
+  cell.AcceptBestEffort("light-wide", "light", 200);
+  std::set<std::string> waiting;
+  for (int i = 0; i < 10; ++i) {
+    const std::string id = "light-narrow" + std::to_string(i);
+    cell.AcceptBestEffort(id, "light", 4);
+    waiting.insert(id);
+  }
+  while (cell.RunsOf("light-wide") == 0) cell.Step();
+  const Millis end = cell.fixture.now + kMaxIdle;
+  while (cell.fixture.now < end) {
+    cell.Step();
+    REQUIRE(cell.IsHalfFree());
+    std::erase_if(waiting, [&](const auto& id) { return cell.RunsOf(id) > 0; });
+  }
+  CHECK(waiting.empty());
+}
+
 TEST_CASE("a relief run starts at a low pace beside tasks that it disturbs") {
   BestEffortCell cell(4);
   cell.StartServingTasks();
