--- a/tests/sim/promise_checker.h
+++ b/tests/sim/promise_checker.h
@@ -30,7 +30,7 @@
   void OnAccepted(const std::string& job);
   void OnShown(const std::string& job, cell::ReplyKind state);
 
-  /// A run was started on a VM. `fits` tells whether the VM had room for it.
+  /// A run was started on a VM. `fits` is whether the VM had room for it.
   void OnStart(const std::string& vm, const jobs::TaskRef& task, int run,
                bool fits);
   void OnEnd(const std::string& vm, const jobs::EndedRunReport& end);
@@ -38,7 +38,7 @@
   void OnAcknowledged(const std::string& vm, const jobs::EndedRunReport& end);
   /// The lease of the VM has expired. Ends that were not acknowledged are void.
   void OnLapse(const std::string& vm);
-  /// The VM and all its runs are gone.
+  /// The VM has terminated, and so have all its runs.
   void OnVmGone(const std::string& vm);
 
   /// Number of runs of the task that were started.
--- a/tests/sim/simulated_vm_client.h
+++ b/tests/sim/simulated_vm_client.h
@@ -18,7 +18,7 @@
 /// Thread safety: only from the thread of the simulation.
 class SimulatedVmClient final : public cell::VmClient {
  public:
-  /// Returns the incarnation with this id; null if it is gone.
+  /// Returns the incarnation with this id; null if it has terminated.
   using FindVm =
       std::function<std::shared_ptr<SimulatedVm>(const std::string&)>;
   /// Returns the resources that a task needs.
