jobs: Give each job that has begun a run before older ones get more

Cause: only deferred jobs got a first run before others got more. Of those that have begun, the tasks of the oldest took each processor that became free. Ruled out: memory (0 to 1 VMs refuse by it), the limit of predicted tails alone (27 of 88 VMs).

Change: a job that has begun and has nothing running takes its first turn before the others of its tier. The idle time is brought up to date before the turns.

Test: 'each job that has begun has a run before older ones get more' failed without the change.

--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -24,6 +24,7 @@
       StopStalledRuns(*job, now);
       PlanRetries(*job, now, commands);
       UpdateTier(*job, now);
+      UpdateIdleTime(*job, now);
     }
   }
   if (check) PlanReliefRuns(vms, now, commands);
@@ -56,11 +57,16 @@
   turns.reserve(active_jobs_.size());
   for (const auto& [key, job] : active_jobs_) {
     turns.push_back({job, job->tier, /*first_task_only=*/false});
-    // Deferred jobs are late already, so each gets one run before another one
-    // gets more.
-    if (IsDeferred(*job) && job->idle_since != Millis(0)) {
+    // While processors do not suffice for all tasks, the tasks of older jobs
+    // would take each processor that becomes free. So of the jobs that have
+    // begun, and of those that are late already, each gets one run before
+    // another one gets more.
+    if (job->idle_since == Millis(0)) continue;
+    if (IsDeferred(*job)) {
       turns.push_back(
           {job, JobTier::kDeferredStarted, /*first_task_only=*/true});
+    } else if (job->tier == JobTier::kStarted) {
+      turns.push_back({job, JobTier::kStarted, /*first_task_only=*/true});
     }
   }
   const auto rank = [](const Turn& turn) {
--- a/tests/auto/jobs/starvation_test.cc
+++ b/tests/auto/jobs/starvation_test.cc
@@ -85,6 +85,17 @@
     fixture.Accept(id, SchedulerFixture::MakeJob({step}));
   }
 
+  /// Accepts a job with one task and, after that, `count` others.
+  void AcceptWideningBestEffort(const std::string& id, int count) {
+    StepSpec first = SchedulerFixture::MakeStep(1, kBestEffortCpuMillis);
+    first.best_effort = true;
+    StepSpec second = SchedulerFixture::MakeStep(count, kBestEffortCpuMillis);
+    second.best_effort = true;
+    second.dependencies = {0};
+    ++fixture.wall_ms;
+    fixture.Accept(id, SchedulerFixture::MakeJob({first, second}));
+  }
+
   /// Advances the time, lets the scheduler plan, and reports all runs. Runs of
   /// jobs whose ids begin with "light" end after kLightRunTime.
   void Step() {
@@ -385,3 +396,23 @@
   for (int i = 0; i < 40; ++i) runs += cell.RunsOf("heavy" + std::to_string(i));
   CHECK(runs == cell.fixture.settings.relief.max_runs);
 }
+
+TEST_CASE("each job that has begun has a run before older ones get more") {
+  static constexpr int kJobs = 24;
+  BestEffortCell cell(4);
+  for (int i = 0; i < kJobs; ++i)
+    cell.AcceptWideningBestEffort("light" + std::to_string(i), 1'000);
+  cell.Run(kLightRunTime * 2);
+  std::vector<Millis> last_run(kJobs, cell.fixture.now);
+  Millis longest_idle;
+  for (const Millis end = cell.fixture.now + Millis(20'000);
+       cell.fixture.now < end;) {
+    cell.Step();
+    for (int i = 0; i < kJobs; ++i) {
+      if (cell.RunsOf("light" + std::to_string(i)) > 0)
+        last_run[i] = cell.fixture.now;
+      longest_idle = std::max(longest_idle, cell.fixture.now - last_run[i]);
+    }
+  }
+  CHECK(longest_idle < kMaxIdle);
+}
