jobs: Tasks that last can be delegated to another cell

Ruled out: short tasks in the way (the charge of those cells does not change once the traffic ends, so nothing but tasks that last is charged).

Each delegation of a task has a number; older ones are ignored. Runs at the host are numbered above those at home, and back.

--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -45,6 +45,8 @@
 Task& Job::At(const TaskRef& task) { return *Find(task); }
 
 bool Job::DependenciesDone(const Occurrence& occurrence, int step) const {
+  // The home cell delegates tasks only after their dependencies.
+  if (IsGuest()) return true;
   for (const int earlier : record.spec.steps[step].dependencies) {
     if (!occurrence.steps[earlier].IsDone()) return false;
   }
@@ -55,13 +57,18 @@
   Occurrence& occurrence = occurrences.emplace_back();
   occurrence.number = number;
   for (const StepSpec& spec : record.spec.steps) {
-    occurrence.steps.emplace_back().tasks.resize(spec.count);
+    Task task;
+    if (IsGuest()) task.hosting = HostingState::kNotHosted;
+    occurrence.steps.emplace_back().tasks.resize(spec.count, task);
   }
   return occurrence;
 }
 
 static bool IsUntouched(const Task& task) {
-  return !task.done && task.last_run == 0 && task.failures == 0;
+  return !task.done && task.last_run == 0 && task.failures == 0 &&
+         task.host_cell < 0 && task.delegation == 0 &&
+         (task.hosting == HostingState::kOwnJob ||
+          task.hosting == HostingState::kNotHosted);
 }
 
 static TaskRecord MakeTaskRecord(const TaskRef& ref, const Task& task) {
@@ -73,6 +80,10 @@
   record.failures = task.failures;
   record.last_run = task.last_run;
   if (!task.done) record.checkpoint = task.checkpoint;
+  record.run_base = task.run_base;
+  record.host_cell = task.host_cell;
+  record.hosting = task.hosting;
+  record.delegation = task.delegation;
   for (const Run& run : task.runs) {
     record.vms.push_back(run.vm);
     record.run_numbers.push_back(run.number);
@@ -80,30 +91,42 @@
   return record;
 }
 
-bool Job::HasRuns() const {
+template <class Matches>
+static bool HasTask(const std::deque<Occurrence>& occurrences,
+                    Matches matches) {
   for (const Occurrence& occurrence : occurrences) {
     for (const Step& step : occurrence.steps) {
-      for (const Task& task : step.tasks) {
-        if (!task.runs.empty()) return true;
-      }
+      if (std::any_of(step.tasks.begin(), step.tasks.end(), matches))
+        return true;
     }
   }
   return false;
 }
 
+bool Job::HasRuns() const {
+  return HasTask(occurrences, [](const Task& task) {
+    return !task.runs.empty() || task.host_cell >= 0;
+  });
+}
+
+bool Job::HasDelegatedTasks() const {
+  return HasTask(occurrences,
+                 [](const Task& task) { return task.host_cell >= 0; });
+}
+
+bool Job::HostsTasks() const {
+  return HasTask(occurrences, [](const Task& task) {
+    return task.hosting == HostingState::kHosted;
+  });
+}
+
 bool Job::HasActiveRuns() const {
   const auto is_active = [](const Run& run) {
     return run.phase != RunPhase::kStopping;
   };
-  for (const Occurrence& occurrence : occurrences) {
-    for (const Step& step : occurrence.steps) {
-      for (const Task& task : step.tasks) {
-        if (std::any_of(task.runs.begin(), task.runs.end(), is_active))
-          return true;
-      }
-    }
-  }
-  return false;
+  return HasTask(occurrences, [&](const Task& task) {
+    return std::any_of(task.runs.begin(), task.runs.end(), is_active);
+  });
 }
 
 ProgressRecord Job::MakeProgress() const {
@@ -133,6 +156,10 @@
     task->last_run = saved.last_run;
     task->journaled_run = saved.last_run;
     task->checkpoint = saved.checkpoint;
+    task->run_base = saved.run_base;
+    task->host_cell = saved.host_cell;
+    task->hosting = saved.hosting;
+    task->delegation = saved.delegation;
     started = true;
     if (saved.done) {
       ++FindOccurrence(saved.occurrence)->steps[saved.step].done;
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -53,7 +53,28 @@
   std::vector<Run> runs;
   std::vector<std::string> failed_on;  ///< VMs to avoid for further runs.
   Millis not_before;                   ///< Earliest time of the next run.
-
+  /// Added to the numbers that a term's runs start from: another cell has used
+  /// numbers up to this.
+  int run_base = 0;
+  int host_cell = -1;  ///< The cell that the task is delegated to; -1: none.
+  HostingState hosting = HostingState::kOwnJob;
+  bool recalled = false;  ///< Delegated, and wanted back.
+  /// Number of the task's last delegation, as its home cell counts them.
+  int delegation = 0;
+  /// First journal batch that holds the last change of `host_cell` or
+  /// `hosting`; 0: restored. No run is started, and no message about it sent,
+  /// before it is durable.
+  std::int64_t placement_batch = 0;
+  int returned_by = -1;  ///< The cell that has returned the task last.
+  Millis returned_at;
+  Millis waiting_since;  ///< For a place in this cell; 0: does not wait.
+  Millis waiting_at_host_since;  ///< For a place there; 0: does not wait.
+
+  /// Whether another cell may run the task, and this one must not.
+  bool IsElsewhere() const {
+    return host_cell >= 0 || hosting == HostingState::kNotHosted ||
+           hosting == HostingState::kReturned;
+  }
   /// Returns the run with this number on `vm`, or null.
   Run* FindRun(int number, std::string_view vm);
 };
@@ -119,31 +140,47 @@
   Task* FindOrAdd(const TaskRef& task);
   /// Adds an occurrence whose tasks all wait.
   Occurrence& AddOccurrence(int number);
+  /// Whether a run, or a delegated task, may be executing.
   bool HasRuns() const;
+  bool HasDelegatedTasks() const;
+  bool HostsTasks() const;
+  /// Whether the job belongs to another cell, which has delegated tasks of it
+  /// to this one.
+  bool IsGuest() const { return record.home_cell >= 0; }
   /// Whether the job has a run that is not being stopped.
   bool HasActiveRuns() const;
   /// Calls `visit(ref, task, run)` for each run. `visit` must not add or remove
   /// runs.
   template <class Visit>
   void ForEachRun(Visit visit);
+  /// Calls `visit(ref, task)` for each task.
+  template <class Visit>
+  void ForEachTask(Visit visit);
   ProgressRecord MakeProgress() const;
   void ApplyProgress(const ProgressRecord& progress);
 };
 
 template <class Visit>
-void Job::ForEachRun(Visit visit) {
+void Job::ForEachTask(Visit visit) {
   for (Occurrence& occurrence : occurrences) {
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
       std::vector<Task>& tasks = occurrence.steps[step].tasks;
       for (std::size_t index = 0; index < tasks.size(); ++index) {
         const TaskRef ref{id, occurrence.number, static_cast<int>(step),
                           static_cast<int>(index)};
-        for (Run& run : tasks[index].runs) visit(ref, tasks[index], run);
+        visit(ref, tasks[index]);
       }
     }
   }
 }
 
+template <class Visit>
+void Job::ForEachRun(Visit visit) {
+  ForEachTask([&](const TaskRef& ref, Task& task) {
+    for (Run& run : task.runs) visit(ref, task, run);
+  });
+}
+
 }  // namespace basilspur::jobs
 
 #endif  // BASILSPUR_JOBS_JOB_H_
--- a/src/libs/jobs/job_progress.h
+++ b/src/libs/jobs/job_progress.h
@@ -24,18 +24,31 @@
   JobSpec spec;
   std::int64_t accepted_wall_ms = 0;
   JobStatus status = JobStatus::kActive;
+  /// Of a guest job: when its last task was returned; 0: some are hosted.
   std::int64_t ended_wall_ms = 0;
   int attempts = 1;  ///< As last configured; the queue may be removed.
   int priority = 0;
+  /// The cell that has delegated tasks of its job to this one; -1: the job
+  /// belongs to this cell.
+  int home_cell = -1;
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.queue, self.service, self.spec, self.accepted_wall_ms,
-            self.status, self.ended_wall_ms, self.attempts, self.priority);
+            self.status, self.ended_wall_ms, self.attempts, self.priority,
+            self.home_cell);
   }
 };
 
-/// Journal record of a task that has been started.
+/// Which part a host has in a task of a job that belongs to another cell.
+enum class HostingState {
+  kOwnJob,     ///< The job belongs to this cell.
+  kNotHosted,  ///< The task was not delegated to this cell.
+  kHosted,
+  kReturned,  ///< The task was recalled.
+};
+
+/// Journal record of a task that has been started or delegated.
 struct TaskRecord {
   int occurrence = 0;
   int step = 0;
@@ -49,11 +62,16 @@
   /// Numbers of the runs on `vms`, in the same order. Records of earlier
   /// versions have none: `last_run` is the number of all of them.
   std::vector<int> run_numbers;
+  int run_base = 0;    ///< See Task::run_base.
+  int host_cell = -1;  ///< The cell that the task is delegated to; -1: none.
+  HostingState hosting = HostingState::kOwnJob;
+  int delegation = 0;  ///< See Task::delegation.
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.occurrence, self.step, self.index, self.done, self.failures,
-            self.last_run, self.checkpoint, self.vms, self.run_numbers);
+            self.last_run, self.checkpoint, self.vms, self.run_numbers,
+            self.run_base, self.host_cell, self.hosting, self.delegation);
   }
 };
 
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -75,6 +75,7 @@
   } else if (job.HasRuns()) {
     stopping_jobs_.insert(id);
   }
+  if (job.HasDelegatedTasks()) delegating_jobs_.insert(id);
   job.ForEachRun([&](const TaskRef& ref, Task&, const Run& run) {
     InheritVm(run.vm, /*address=*/"", now)
         .Add({ref, run.number}, MakeRunOnVm(job.record.spec.steps[ref.step]));
@@ -150,7 +151,11 @@
 
 SubmitResult Scheduler::Submit(const std::string& id, const QueueConfig& queue,
                                JobSpec spec, std::int64_t wall_ms, Millis now) {
-  if (FindJob(id)) return SubmitResult::kAlreadyExists;
+  if (const Job* known = FindJob(id)) {
+    // A guest job is not accepted here; its home cell answers callers.
+    return known->IsGuest() ? SubmitResult::kTooManyJobs
+                            : SubmitResult::kAlreadyExists;
+  }
   if (active_jobs_.size() >= settings_.max_active_jobs) {
     return SubmitResult::kTooManyJobs;
   }
@@ -164,6 +169,7 @@
   job->record.accepted_wall_ms = wall_ms;
   job->record_dirty = true;
   job->accepted_at = now;
+  urgent_changes_ = true;
   dirty_jobs_.insert(id);
   jobs_[id] = std::move(job);
   return SubmitResult::kNew;
@@ -171,7 +177,7 @@
 
 bool Scheduler::Cancel(const std::string& id, std::int64_t wall_ms) {
   Job* job = FindJob(id);
-  if (!job) return false;
+  if (!job || job->IsGuest()) return false;
   if (!IsFinal(job->record.status)) {
     EndJob(*job, JobStatus::kCancelled, wall_ms);
   }
@@ -188,6 +194,7 @@
   job.record.status = status;
   job.record.ended_wall_ms = wall_ms;
   job.record_dirty = true;
+  urgent_changes_ = true;
   dirty_jobs_.insert(job.id);
   stopping_jobs_.insert(job.id);
   std::erase_if(active_jobs_,
@@ -232,6 +239,7 @@
         {"v" + vm, records::Encode(VmRecord{end, known.listing.address})});
   }
   moved_.TakeChanges(batch);
+  urgent_changes_ = false;
   batch.ends = std::move(dirty_vms_);
   dirty_vms_.clear();
   return batch;
@@ -260,18 +268,27 @@
   moved_.OnDurable(batch);
 }
 
+bool Scheduler::CanPurge(const Job& job, std::int64_t wall_ms) const {
+  const bool retained =
+      wall_ms - job.record.ended_wall_ms <= settings_.ended_job_retention.count;
+  if (retained || dirty_jobs_.contains(job.id)) return false;
+  if (!job.IsGuest()) return IsFinal(job.durable_status);
+  // Until then, delegations that are late may arrive.
+  return job.record.ended_wall_ms > 0 && !job.HostsTasks() && !job.HasRuns();
+}
+
 void Scheduler::PurgeEndedJobs(std::int64_t wall_ms) {
   for (auto it = jobs_.begin(); it != jobs_.end();) {
     const Job& job = *it->second;
-    const bool expired = IsFinal(job.durable_status) &&
-                         !dirty_jobs_.contains(job.id) &&
-                         wall_ms - job.record.ended_wall_ms >
-                             settings_.ended_job_retention.count;
-    if (!expired) {
+    if (!CanPurge(job, wall_ms)) {
       ++it;
       continue;
     }
     pending_deletions_.push_back({"j" + job.id, {}});
+    if (job.has_progress_record)
+      pending_deletions_.push_back({"p" + job.id, {}});
+    std::erase_if(active_jobs_,
+                  [&](const auto& item) { return item.second == &job; });
     it = jobs_.erase(it);
   }
 }
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "jobs/catalog.h"
+#include "jobs/delegation.h"
 #include "jobs/job.h"
 #include "jobs/job_tier_policy.h"
 #include "jobs/journal_batch.h"
@@ -49,6 +50,8 @@
   /// Of best-effort tasks, running or waiting.
   std::int64_t best_effort_cpu_millis = 0;
   Millis oldest_wait;  ///< Age of the oldest job with a waiting task.
+  /// Free capacity of the VM that has the most free processors.
+  records::Resources largest_room;
 };
 
 /// State of a job as reported to callers.
@@ -130,6 +133,10 @@
   /// and ends are empty if nothing has.
   JournalBatch TakeBatch(std::int64_t wall_ms);
   bool HasBatch() const;
+  /// Whether callers or new runs wait for changes to become durable.
+  bool HasUrgentChanges() const {
+    return urgent_changes_ || moved_.HasChanges();
+  }
   /// The batch is durable in the journal.
   void OnDurable(const JournalBatch& batch);
 
@@ -156,6 +163,26 @@
   void OnCommandOutcome(const RunCommand& command, RunCommandOutcome outcome,
                         std::int64_t clock_ms, Millis sent, Millis now);
 
+  /// Returns long-running tasks that have waited so long for a place that
+  /// another cell should host them. Call about every 100 ms.
+  std::vector<TaskRef> TasksToDelegate(Millis now);
+  /// Returns the cell that should not host the task now, since it has returned
+  /// it a short while ago; -1: none. Precondition: the task is known.
+  int CellToAvoid(const TaskRef& ref, Millis now) const;
+  /// Precondition: the task is known.
+  const StepSpec& SpecOf(const TaskRef& ref) const;
+  /// Delegates a task, once the journal says so. Precondition: the task is one
+  /// of TasksToDelegate.
+  void Delegate(const TaskRef& ref, int host_cell);
+  /// Returns what to send to which host cells now.
+  std::vector<std::pair<int, Delegation>> DelegationsToSend(Millis now);
+  /// Processes a host's answer.
+  void OnDelegationReport(const std::string& id, int host_cell,
+                          const DelegationReport& report, Millis now);
+  /// Serves another cell's delegation. The report has no rows if it can't be
+  /// served.
+  DelegationReport Host(const Delegation& delegation, std::int64_t wall_ms);
+
   /// Returns the commands to send now. Call after events and about every 100
   /// ms.
   std::vector<RunCommand> Plan(std::int64_t wall_ms, Millis now);
@@ -191,12 +218,19 @@
     bool first_task_only;
   };
 
+  /// When a job's delegations were last sent, and for how many tasks.
+  struct SentDelegations {
+    Millis at;
+    std::size_t tasks = 0;
+  };
+
   Job* FindJob(const std::string& id);
   Vm* FindVm(const std::string& id);
   /// Returns the VM, which an earlier owner may have used.
   Vm& InheritVm(const std::string& id, const std::string& address, Millis now);
   void Activate(Job& job);
   void EndJob(Job& job, JobStatus status, std::int64_t wall_ms);
+  bool CanPurge(const Job& job, std::int64_t wall_ms) const;
   void PurgeEndedJobs(std::int64_t wall_ms);
   void MarkProgressDirty(Job& job);
 
@@ -219,6 +253,17 @@
   void RecordVmFailure(Vm& vm, Millis now);
   void FinishOccurrenceIfDone(Job& job, const Occurrence& occurrence);
 
+  /// The cell that runs the task has changed.
+  void MarkPlacementChanged(Job& job, Task& task);
+  /// The job's delegations that are in the journal, by host cell.
+  std::map<int, Delegation> DelegationsOf(Job& job) const;
+  void OnDelegatedTaskReport(Job& job, Task& task,
+                             const DelegatedTaskReport& report, Millis now);
+  Job& AddGuestJob(const Delegation& delegation, std::int64_t wall_ms);
+  void ApplyDelegation(Job& job, Task& task, const DelegatedTask& wanted);
+  void ReportHosting(const Job& job, const TaskRef& ref, const Task& task,
+                     DelegatedTaskReport& row) const;
+
   void AddDueOccurrences(Job& job, std::int64_t wall_ms);
   void PlanJob(Job& job, const std::vector<Vm*>& vms, Millis now,
                std::vector<RunCommand>& commands);
@@ -294,6 +339,9 @@
   std::set<std::string> stopping_jobs_;
   std::map<std::string, std::unique_ptr<Vm>> vms_;
   std::set<std::string> dirty_jobs_;
+  bool urgent_changes_ = false;
+  std::set<std::string> delegating_jobs_;  ///< Jobs with delegated tasks.
+  std::map<std::string, SentDelegations> delegations_sent_;  ///< By job.
   /// By VM, as recorded by earlier owners.
   std::map<std::string, Millis> recorded_lease_expiries_;
   std::vector<JournalEntry> pending_deletions_;
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -121,11 +121,13 @@
 }
 
 bool Scheduler::NeedsRun(const Task& task, Millis now) const {
-  return !task.done && task.runs.empty() && now >= task.not_before;
+  return !task.done && task.runs.empty() && now >= task.not_before &&
+         !task.IsElsewhere() && task.placement_batch <= durable_batches_;
 }
 
 int Scheduler::NextRunNumber(const Job& job, const Task& task) const {
-  return std::max(task.last_run + 1, job.inherited ? first_run_number_ : 1);
+  const int first = job.inherited ? first_run_number_ : 1;
+  return std::max(task.last_run + 1, task.run_base + first);
 }
 
 void Scheduler::PlanFirstTask(Job& job, const std::vector<Vm*>& vms, Millis now,
@@ -229,6 +231,7 @@
   run.starts_sent = 1;
   run.journal_batch = taken_batches_ + 1;
   task.last_run = number;
+  task.waiting_since = Millis(0);
   RunOnVm run_on_vm = MakeRunOnVm(spec);
   run_on_vm.pace_percent = place.pace_percent;
   run_on_vm.relief = place.relief;
@@ -262,6 +265,10 @@
 void Scheduler::PlanRetries(Job& job, Millis now,
                             std::vector<RunCommand>& commands) {
   job.ForEachRun([&](const TaskRef& ref, Task& task, Run& run) {
+    if (task.IsElsewhere() && run.phase != RunPhase::kStopping) {
+      IssueStop(ref, run, now, commands);
+      return;
+    }
     if (run.phase == RunPhase::kStopping && !run.stop_confirmed &&
         now - run.last_command_at >= settings_.stop_retry_interval) {
       IssueStop(ref, run, now, commands);
@@ -305,7 +312,7 @@
                                      std::vector<RunCommand>& commands) {
   for (auto it = stopping_jobs_.begin(); it != stopping_jobs_.end();) {
     Job* job = FindJob(*it);
-    bool has_runs = false;
+    bool has_runs = job && job->HasDelegatedTasks();
     if (job) {
       job->ForEachRun([&](const TaskRef& ref, Task&, Run& run) {
         has_runs = true;
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -58,7 +58,9 @@
   tails_.Observe(*vm, now);
   vm->reachable = true;
   vm->lease_expired = false;
-  if (!vm->in_journal) dirty_vms_.try_emplace(id, vm->last_end);
+  if (vm->in_journal) return;
+  dirty_vms_.try_emplace(id, vm->last_end);
+  if (vm->journal_batch == 0) urgent_changes_ = true;
 }
 
 bool Scheduler::IsUnjournaledRun(const Vm& vm, const Job* job, const Task* task,
@@ -66,7 +68,7 @@
   // An earlier owner started the run and could not record it any more.
   return task && !task->done && vm.inherited && job->inherited &&
          !IsFinal(job->record.status) && run > task->journaled_run &&
-         run < first_run_number_;
+         run < task->run_base + first_run_number_;
 }
 
 void Scheduler::ProcessRunningRun(Vm& vm, const RunningRunReport& row,
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -49,6 +49,17 @@
   Millis reservation_duration{500};
   /// Maximum number of tasks that are being moved off draining VMs.
   int max_concurrent_evacuations = 8;
+  /// How long a long-running task waits for a place before it is delegated.
+  Millis delegation_delay{700};
+  /// Interval at which a host is told again what is delegated to it, and while
+  /// a task is recalled.
+  Millis delegation_interval{1'000};
+  Millis recall_interval{200};
+  /// How long a delegated task waits for a place at its host before it is
+  /// recalled.
+  Millis max_wait_at_host{1'500};
+  /// How long a cell is not asked again to host a task that it has returned.
+  Millis host_cooldown{3'000};
   /// How long the status of an ended job is kept.
   Millis ended_job_retention{120'000};
   std::size_t max_active_jobs = 4'000;
--- a/src/libs/jobs/scheduler_status.cc
+++ b/src/libs/jobs/scheduler_status.cc
@@ -5,7 +5,8 @@
 namespace basilspur::jobs {
 
 bool Scheduler::HasJob(const std::string& id) const {
-  return jobs_.contains(id);
+  const auto found = jobs_.find(id);
+  return found != jobs_.end() && !found->second->IsGuest();
 }
 
 bool Scheduler::IsAccepted(const std::string& id) const {
@@ -53,7 +54,7 @@
                       CellSummary& summary) {
   for (const Task& task : step.tasks) {
     summary.runs += static_cast<int>(task.runs.size());
-    if (task.done) continue;
+    if (task.done || task.IsElsewhere()) continue;
     if (spec.best_effort) {
       summary.best_effort_cpu_millis += spec.need.cpu_millis;
     }
@@ -85,7 +86,11 @@
   for (const auto& [id, vm] : vms_) {
     if (!vm->listed) continue;
     if (!vm->reachable) ++summary.unreachable_vms;
-    summary.free_cpu_millis += vm->Free().cpu_millis;
+    const records::Resources free = vm->Free();
+    const bool open = vm->reachable && !vm->listing.draining;
+    if (open && free.cpu_millis > summary.largest_room.cpu_millis)
+      summary.largest_room = free;
+    summary.free_cpu_millis += free.cpu_millis;
     summary.capacity_cpu_millis += vm->listing.capacity.cpu_millis;
   }
   return summary;
--- a/src/libs/jobs/scheduler_waiting.cc
+++ b/src/libs/jobs/scheduler_waiting.cc
@@ -38,7 +38,7 @@
   // A run that is being stopped does no work, but its task can be started again
   // only once it has ended.
   const auto is_due = [&](const StepSpec&, const Task& task) {
-    return !task.done && now >= task.not_before;
+    return !task.done && now >= task.not_before && !task.IsElsewhere();
   };
   const bool idle = !job.HasActiveRuns() && FirstTask(job, is_due);
   if (!idle) job.idle_since = Millis(0);
