cell: Probe owners instead of following all of them; delegate tasks

Two changes in one commit, since both reshape the calls between entries (node_requests) and the simulation.

Change: an entry probes one of the owners a second; an owner probes the others at 12.5 a second and so learns their loads and tails; an owner chooses four candidates among those that probe it, which follow its renewals (CandidateList, FollowPolicy); an entry that doubts an owner follows its cell until that is clear. The VM list is read by owners and by candidates in doubt only.

A task that lasts and waits for 0.7 s is delegated to the cell with the largest room on a VM, by the loads that owners know of each other.

The simulation has several cells, cancels and probes now.

--- a/src/libs/cell/cell_balancer.cc
+++ b/src/libs/cell/cell_balancer.cc
@@ -69,4 +69,26 @@
   return best;
 }
 
+std::optional<int> CellBalancer::ChooseHost(int home_cell,
+                                            const records::Resources& need,
+                                            int excluded) {
+  std::optional<int> best;
+  for (int cell = 0; cell < static_cast<int>(loads_.size()); ++cell) {
+    if (cell == home_cell || cell == excluded ||
+        !need.FitsIn(loads_[cell].largest_room))
+      continue;
+    if (best && loads_[*best].largest_room.cpu_millis >=
+                    loads_[cell].largest_room.cpu_millis) {
+      continue;
+    }
+    best = cell;
+  }
+  // Until the cell publishes its load again, the room counts as taken.
+  if (best) {
+    loads_[*best].largest_room = loads_[*best].largest_room - need;
+    loads_[*best].charged_cpu_millis += need.cpu_millis;
+  }
+  return best;
+}
+
 }  // namespace basilspur::cell
--- a/src/libs/cell/cell_balancer.h
+++ b/src/libs/cell/cell_balancer.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPUR_CELL_CELL_BALANCER_H_
 #define BASILSPUR_CELL_CELL_BALANCER_H_
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -31,6 +32,11 @@
   /// Returns the cell for the job `id`, whose home is `home_cell`, and adds the
   /// job to that cell's load.
   int ChooseCell(int home_cell, std::string_view id, const jobs::JobSpec& spec);
+  /// Returns the cell that should host a task of `home_cell`, which has no
+  /// place for it: of those with room on a VM, the one with the largest. Empty
+  /// if there is none. The cell `excluded` is left out, if it is not -1.
+  std::optional<int> ChooseHost(int home_cell, const records::Resources& need,
+                                int excluded);
 
  private:
   std::vector<CellLoad> loads_;
--- a/src/libs/cell/cell_load.h
+++ b/src/libs/cell/cell_load.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 
+#include "records/resources.h"
+
 namespace basilspur::cell {
 
 /// The load of a cell, in thousandths of a core. A capacity of 0 means that the
@@ -17,11 +19,14 @@
   std::int64_t waiting_cpu_millis = 0;
   /// Needed by best-effort tasks, running or waiting.
   std::int64_t best_effort_cpu_millis = 0;
+  /// Free capacity of the VM that has the most free processors.
+  records::Resources largest_room = {};
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.capacity_cpu_millis, self.charged_cpu_millis,
-            self.waiting_cpu_millis, self.best_effort_cpu_millis);
+            self.waiting_cpu_millis, self.best_effort_cpu_millis,
+            self.largest_room);
   }
 };
 
--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/hashing.h"
 #include "base/logging.h"
 
 namespace basilspur::cell {
@@ -31,18 +32,44 @@
 
 CellMember::CellMember(net::asio::io_context& context, Store& store,
                        const Clock& clock, Identity identity,
-                       ElectionSettings settings, int cell, std::uint64_t seed,
-                       Callbacks callbacks)
+                       ElectionSettings settings, Position position,
+                       std::uint64_t seed, Callbacks callbacks)
     : context_(context),
       store_(store),
       clock_(clock),
       identity_(std::move(identity)),
-      cell_(cell),
-      partition_{"keyed.owners", cell},
+      cell_(position.cell),
+      partition_{"keyed.owners", position.cell},
+      slow_machine_(settings.slow_machine_delay > Millis(0)),
       election_(settings, identity_.node, identity_.incarnation, seed),
+      follow_policy_(position.cells, MixBits(seed)),
+      max_candidates_(settings.max_candidates),
+      candidates_(max_candidates_),
       callbacks_(std::move(callbacks)) {}
 
-void CellMember::Start() {
+void CellMember::Start() { StartFollowing(); }
+
+OwnerKnowledge CellMember::Knowledge() const {
+  if (election_.Owns()) return OwnerKnowledge::kSelf;
+  const auto& owner = election_.Owner();
+  const bool is_other = owner && owner->incarnation != identity_.incarnation;
+  return is_other ? OwnerKnowledge::kOther : OwnerKnowledge::kNone;
+}
+
+void CellMember::UpdateFollowing() {
+  const bool follow = appending_ || follow_policy_.ShouldFollow(
+                                        Knowledge(), clock_.Monotonic());
+  if (follow == IsFollowing()) return;
+  if (follow) {
+    StartFollowing();
+    return;
+  }
+  watcher_->Stop();
+  watcher_.reset();
+  election_.OnFollowingStopped();
+}
+
+void CellMember::StartFollowing() {
   const auto self = shared_from_this();
   watcher_ = std::make_shared<TopicWatcher>(
       store_, partition_, WatchSettings{},
@@ -55,7 +82,17 @@
 
 void CellMember::OnRecord(const KeyedRecord& record) {
   if (record.key == kOwnerKey) OnOwnerRecord(record);
-  if (record.key == kTailsKey) callbacks_.on_tail_record(record.value);
+  if (record.key == kTailsKey) OnTailRecord(record);
+}
+
+void CellMember::OnTailRecord(const KeyedRecord& record) {
+  const auto decoded = records::Decode<jobs::TailRecord>(record.value);
+  if (IsOk(decoded)) {
+    callbacks_.on_tail_record(ValueOf(decoded));
+    return;
+  }
+  kLog.Error("event=tail_record_skipped cell=" + std::to_string(cell_) +
+             " error=\"" + ErrorOf(decoded).ToString() + "\"");
 }
 
 void CellMember::OnOwnerRecord(const KeyedRecord& record) {
@@ -107,6 +144,9 @@
   if (owner_ && election_.Token() != owner_token_) StopOwner();
   if (owner_ || !election_.Owns() || leaving_ || yielding_) return;
   owner_token_ = election_.Token();
+  candidates_ = CandidateList(max_candidates_);
+  published_load_ = {};
+  published_tails_.reset();
   load_published_ = false;
   CellOwner::Ownership ownership;
   ownership.cell = cell_;
@@ -184,6 +224,11 @@
 
 void CellMember::Tick(int owned) {
   const Millis now = clock_.Monotonic();
+  UpdateFollowing();
+  if (follow_policy_.ShouldProbe(Knowledge(), owned > 0, now)) {
+    net::asio::co_spawn(context_, ProbeOwner(*election_.Owner(), owned > 0),
+                        net::asio::detached);
+  }
   if (election_.IsExpired(now)) {
     kLog.Warning(
         "event=ownership_expired cell=" + std::to_string(cell_) +
@@ -225,7 +270,7 @@
   // is published once and not on every tick.
   const bool publishes_load = owner && owner->IsReady();
   if (owner) {
-    record.load = owner->Load();
+    record.load = published_load_ = owner->Load();
     unreachable_vms = owner->CollectUnreachableVms();
     record.unreachable_vms = ToRecords(unreachable_vms, sent);
   } else if (!renewal) {
@@ -235,9 +280,8 @@
   std::vector<KeyedRecord> records(1, written);
   if (renewal && owner_ && sent - last_tail_record_ >= kTailRecordInterval) {
     last_tail_record_ = sent;
-    records.push_back(
-        {kTailsKey,
-         records::Encode(owner_->SchedulerState().Tails().MakeRecord()), 0});
+    published_tails_ = owner_->SchedulerState().Tails().MakeRecord();
+    records.push_back({kTailsKey, records::Encode(*published_tails_), 0});
   }
   const auto count = static_cast<std::int64_t>(records.size());
   const AppendAnswer answer =
@@ -274,7 +318,52 @@
   if (election_.Owns()) election_.OnConfirmed(sent);
 }
 
+net::asio::awaitable<void> CellMember::ProbeOwner(OwnerRecord owner,
+                                                  bool owns_cells) {
+  const auto self = shared_from_this();
+  OwnerProbe probe;
+  probe.cell = cell_;
+  probe.incarnation = identity_.incarnation;
+  probe.data_center = identity_.data_center;
+  probe.burdened = owns_cells || slow_machine_;
+  probe.wants_tails = owns_cells && clock_.Monotonic() - last_tails_request_ >=
+                                        kTailRecordInterval;
+  if (probe.wants_tails) last_tails_request_ = clock_.Monotonic();
+  const Result<OwnerProbeReply> answer =
+      co_await callbacks_.probe_peer(owner.address, std::move(probe));
+  const bool refused =
+      !IsOk(answer) && ErrorOf(answer).code == ErrorCode::kRefused;
+  const bool replaced =
+      IsOk(answer) && ValueOf(answer).incarnation != owner.incarnation;
+  if (refused || replaced) OnOwnerTerminated(owner.incarnation);
+  if (!IsOk(answer) || !ValueOf(answer).owns) {
+    OnOwnerDoubted();
+    co_return;
+  }
+  const OwnerProbeReply& reply = ValueOf(answer);
+  follow_policy_.OnOwnerAnswered(reply.candidate, clock_.Monotonic());
+  callbacks_.on_load(reply.load);
+  if (reply.tails) callbacks_.on_tail_record(*reply.tails);
+}
+
+OwnerProbeReply CellMember::HandleProbe(const OwnerProbe& probe) {
+  OwnerProbeReply reply;
+  reply.incarnation = identity_.incarnation;
+  reply.owns = IsAuthoritative();
+  if (!reply.owns) return reply;
+  reply.candidate = candidates_.OnProbe(probe, clock_.Monotonic());
+  reply.load = published_load_;
+  if (probe.wants_tails) reply.tails = published_tails_;
+  return reply;
+}
+
+void CellMember::OnOwnerDoubted() {
+  follow_policy_.OnOwnerDoubted(clock_.Monotonic());
+  UpdateFollowing();
+}
+
 void CellMember::OnOwnerTerminated(const std::string& incarnation) {
+  OnOwnerDoubted();
   election_.OnOwnerTerminated(incarnation, clock_.Monotonic());
 }
 
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -5,15 +5,20 @@
 #include <memory>
 #include <string>
 
+#include "cell/candidate_list.h"
 #include "cell/cell_owner.h"
 #include "cell/election.h"
+#include "cell/follow_policy.h"
+#include "cell/owner_probe.h"
 #include "cell/store.h"
 #include "cell/topic_watcher.h"
 
 namespace basilspur::cell {
 
-/// This node's participation in one cell: follows the cell's ownership,
-/// campaigns for it and runs the owner while this node is elected.
+/// This node's participation in one cell: knows the cell's owner, campaigns for
+/// the cell as one of its candidates, and runs the owner while this node is
+/// elected. Only candidates and nodes in doubt follow the owner's records in
+/// the store; others probe the owner from time to time.
 ///
 /// Thread safety: only from the thread of its io_context.
 class CellMember : public std::enable_shared_from_this<CellMember> {
@@ -22,6 +27,7 @@
     std::string node;
     std::string incarnation;
     std::string peer_address;
+    std::string data_center = {};
   };
   /// Services and notifications between the member and its entry.
   struct Callbacks {
@@ -34,16 +40,26 @@
     std::function<net::asio::awaitable<JobReply>(
         std::string address, JobRequest request, Millis timeout)>
         call_peer;
+    /// Sends a probe to the entry at an address. Error kRefused: no process
+    /// listens there.
+    std::function<net::asio::awaitable<Result<OwnerProbeReply>>(
+        std::string address, OwnerProbe probe)>
+        probe_peer;
     /// The cell's owner has published the cell's load.
     std::function<void(const CellLoad& load)> on_load;
-    /// The cell's owner has published its tail-latency estimates as an encoded
-    /// jobs::TailRecord.
-    std::function<void(const records::Bytes& record)> on_tail_record;
+    /// The cell's owner has published its tail-latency estimates.
+    std::function<void(const jobs::TailRecord& record)> on_tail_record;
+  };
+
+  /// The member's cell, and how many there are.
+  struct Position {
+    int cell = 0;
+    int cells = 1;
   };
 
   /// Precondition: the references outlive the object.
   CellMember(net::asio::io_context& context, Store& store, const Clock& clock,
-             Identity identity, ElectionSettings settings, int cell,
+             Identity identity, ElectionSettings settings, Position position,
              std::uint64_t seed, Callbacks callbacks);
 
   void Start();
@@ -53,6 +69,12 @@
   /// Null while this node does not own the cell.
   CellOwner* Owner() const { return owner_.get(); }
   bool Owns() const { return election_.Owns(); }
+  /// Whether this node may own the cell soon: it has no owner, or this node is
+  /// a candidate and doubts the owner.
+  bool MayTakeOver() const {
+    return Knowledge() == OwnerKnowledge::kNone ||
+           follow_policy_.IsCandidateInDoubt(clock_.Monotonic());
+  }
   /// The owner according to the newest record read; empty if there is none.
   const std::optional<OwnerRecord>& KnownOwner() const {
     return election_.Owner();
@@ -60,16 +82,34 @@
   /// A peer owns the cell under `token`. Ends an older ownership of this node,
   /// and prevents one that this node does not know of yet.
   void OnStepDownRequest(std::int64_t token);
+  /// The known owner did not serve a request, or may have been replaced. The
+  /// member follows the cell's records until that is clear.
+  void OnOwnerDoubted();
   /// The owner's process with this incarnation has terminated.
   void OnOwnerTerminated(const std::string& incarnation);
+  /// Returns whether this node owns the cell and no other node can have
+  /// replaced it.
+  bool IsAuthoritative() const {
+    return owner_ && election_.IsAuthoritative(clock_.Monotonic());
+  }
+  /// Serves another entry's probe.
+  OwnerProbeReply HandleProbe(const OwnerProbe& probe);
+  /// Whether the member follows the cell's records in the store.
+  bool IsFollowing() const { return watcher_ != nullptr; }
   /// Hands the cell over if this node owns it, and never campaigns again.
   net::asio::awaitable<void> Leave();
   /// Hands the cell over to another node and does not campaign for `cooldown`.
   net::asio::awaitable<void> Yield(Millis cooldown);
 
  private:
+  OwnerKnowledge Knowledge() const;
+  /// Starts or stops to follow the cell's records.
+  void UpdateFollowing();
+  void StartFollowing();
+  net::asio::awaitable<void> ProbeOwner(OwnerRecord owner, bool owns_cells);
   void OnRecord(const KeyedRecord& record);
   void OnOwnerRecord(const KeyedRecord& record);
+  void OnTailRecord(const KeyedRecord& record);
   void UpdateUnreachableVms(const OwnerRecord& record);
   /// Creates or stops the owner so that it matches the election.
   void SyncOwner();
@@ -95,8 +135,16 @@
   Identity identity_;
   int cell_;
   Partition partition_;
+  bool slow_machine_;
   Election election_;
+  FollowPolicy follow_policy_;
+  std::size_t max_candidates_;
+  CandidateList candidates_;  ///< Of this node's ownership.
+  /// As written with this ownership's newest renewals, for probes.
+  CellLoad published_load_;
+  std::optional<jobs::TailRecord> published_tails_;
   Callbacks callbacks_;
+  Millis last_tails_request_;
   Millis last_tail_record_;
   bool load_published_ =
       false;  ///< Whether this ownership has published its load.
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -127,6 +127,7 @@
   // Lets waiting requests check their deadlines while no batch becomes durable.
   batch_durable_.NotifyAll();
   SchedulePlan();
+  SyncDelegations();
   if (ready_ &&
       Now() - last_moved_job_check_ >= settings_.moved_job_check_interval) {
     last_moved_job_check_ = Now();
@@ -204,6 +205,7 @@
       summary.capacity_cpu_millis - summary.free_cpu_millis;
   load.waiting_cpu_millis = summary.waiting_cpu_millis;
   load.best_effort_cpu_millis = summary.best_effort_cpu_millis;
+  load.largest_room = summary.largest_room;
   return load;
 }
 
@@ -231,12 +233,19 @@
                           net::asio::detached);
     }
   }
-  if (scheduler_.HasBatch()) batch_pending_.NotifyAll();
+  NotifyJournalWriter();
+}
+
+void CellOwner::NotifyJournalWriter() {
+  const bool wanted =
+      scheduler_.HasUrgentChanges() || (writer_idle_ && scheduler_.HasBatch());
+  if (wanted) batch_pending_.NotifyAll();
 }
 
 net::asio::awaitable<bool> CellOwner::Drain(Millis timeout) {
   const auto self = shared_from_this();
   draining_ = true;
+  batch_pending_.NotifyAll();
   const Millis deadline = Now() + timeout;
   while (!stopped_ && Now() < deadline) {
     if (!append_started_ && !scheduler_.HasBatch()) {
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "cell/cell_load.h"
+#include "cell/delegation_messages.h"
 #include "cell/peer_messages.h"
 #include "cell/signal.h"
 #include "cell/store.h"
@@ -23,6 +24,8 @@
   jobs::SchedulerSettings scheduler;
   /// Pause between two appends to the journal.
   Millis journal_flush_interval{15};
+  /// The same while nobody waits for the changes to become durable.
+  Millis lazy_flush_interval{60};
   /// Shortest time between two scheduling passes.
   Millis min_plan_interval{8};
   /// An append that stays pending for longer makes the owner refuse new jobs.
@@ -42,6 +45,8 @@
   /// Upper bound of the keys and values in one append, unless a single record
   /// is larger.
   std::size_t max_append_bytes = 1 << 20;
+  /// Loads of other cells are up to a second old, so room may be taken.
+  int max_delegations_per_tick = 16;
   /// Interval at which one job that moved to another cell is looked up there.
   Millis moved_job_check_interval{1'000};
 };
@@ -75,6 +80,14 @@
     /// Sends a request to the owner of the request's cell.
     std::function<net::asio::awaitable<JobReply>(JobRequest request)>
         forward_request;
+    /// Chooses the cell that hosts a task for which this cell has no place.
+    std::function<std::optional<int>(
+        int home_cell, const records::Resources& need, int excluded)>
+        choose_host;
+    /// Sends a delegation to the owner of the request's cell.
+    std::function<net::asio::awaitable<DelegationReply>(
+        DelegationRequest request)>
+        send_delegation;
   };
 
   /// Connects the owner with the election of its cell.
@@ -110,6 +123,8 @@
   void Tick();
 
   net::asio::awaitable<JobReply> Handle(JobRequest request);
+  /// Serves another cell that delegates tasks to this one.
+  DelegationReply HandleDelegation(const jobs::Delegation& delegation);
 
   /// Stops scheduling and accepting jobs, and waits up to `timeout` until the
   /// journal holds all changes. Returns whether it then lists every run.
@@ -152,12 +167,17 @@
   std::optional<JobReply> Admit(const JobRequest& request);
   net::asio::awaitable<JobReply> ReplyMoved(const JobRequest& request);
   net::asio::awaitable<void> CheckMovedJob();
+  /// Delegates tasks that wait for a place, and tells hosts what is delegated
+  /// to them.
+  void SyncDelegations();
+  net::asio::awaitable<void> SendDelegation(DelegationRequest request);
   net::asio::awaitable<JobReply> Cancel(const JobRequest& request);
   void LogRunEnds(const std::string& vm, const jobs::VmReport& report) const;
   void LogJobEnds(const jobs::JournalBatch& batch) const;
   JobReply StatusOf(const std::string& job) const;
   Millis RenewalWait(const std::string& vm) const;
   void SchedulePlan();
+  void NotifyJournalWriter();
   void RunPlan();
   void HandleFenced();
   /// Returns whether a call may be sent to a VM now. Stops the owner if its
@@ -180,7 +200,11 @@
   jobs::Scheduler scheduler_;
   jobs::Catalog catalog_;
   Partition journal_;
-  Signal batch_pending_;  ///< Notified when changes may wait for the journal.
+  /// Notified when changes that have to be written at once wait for the
+  /// journal, or any changes while the writer is idle.
+  Signal batch_pending_;
+  bool writer_idle_ = false;
+  Millis last_append_;
   Signal batch_durable_;  ///< Notified when a batch became durable.
   std::int64_t sequence_ = 0;
   std::optional<Millis> append_started_;  ///< Set while an append is pending.
--- a/src/libs/cell/cell_owner_journal.cc
+++ b/src/libs/cell/cell_owner_journal.cc
@@ -116,7 +116,15 @@
   const auto self = shared_from_this();
   while (!stopped_) {
     if (!scheduler_.HasBatch()) {
+      writer_idle_ = true;
       co_await batch_pending_.Wait();
+      writer_idle_ = false;
+      continue;
+    }
+    const Millis pause = last_append_ + settings_.lazy_flush_interval - Now();
+    const bool can_wait = !scheduler_.HasUrgentChanges() && !draining_;
+    if (can_wait && pause > Millis(0)) {
+      co_await batch_pending_.WaitFor(pause);
       continue;
     }
     const jobs::JournalBatch batch = scheduler_.TakeBatch(clock_.Wall().count);
@@ -125,6 +133,7 @@
     scheduler_.OnDurable(batch);
     batch_durable_.NotifyAll();
     SchedulePlan();
+    last_append_ = Now();
     co_await net::Sleep(settings_.journal_flush_interval);
   }
 }
--- a/src/libs/cell/directory.h
+++ b/src/libs/cell/directory.h
@@ -20,8 +20,12 @@
 
   virtual ~Directory() = default;
 
-  /// Starts reporting the listed VMs and changes. Further calls do nothing.
+  /// Starts reporting the listed VMs and changes. Does nothing if it has been
+  /// started.
   virtual void Start(Callbacks callbacks) = 0;
+  /// Stops reporting. After another start, all VMs are reported anew, and those
+  /// that were removed meanwhile are not reported as unlisted.
+  virtual void Stop() = 0;
 };
 
 }  // namespace basilspur::cell
--- a/src/libs/cell/election.cc
+++ b/src/libs/cell/election.cc
@@ -58,6 +58,11 @@
   end_ = std::max(end_, end);
 }
 
+void Election::OnFollowingStopped() {
+  caught_up_ = false;
+  campaign_at_.reset();
+}
+
 void Election::OnOwnerTerminated(const std::string& incarnation, Millis now) {
   if (!owner_ || owner_->incarnation != incarnation || Owns()) return;
   owner_last_seen_ = now - settings_.owner_timeout;
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPUR_CELL_ELECTION_H_
 #define BASILSPUR_CELL_ELECTION_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -23,6 +24,9 @@
   Millis campaign_delay_per_cell{150};
   /// Additional delay of a claim on a slow machine.
   Millis slow_machine_delay{0};
+  /// Number of entries that follow an owner's renewals. Some of them may be
+  /// frozen, or in the owner's data center when it is lost.
+  std::size_t max_candidates = 4;
   /// How long after a renewal an owner may report that a job does not exist.
   Millis authoritative_period{1'500};
   /// An owner without a renewal for this long steps down, and with that stops
@@ -42,6 +46,9 @@
   /// The record at `offset` of the cell's partition was read. Returns false,
   /// and does nothing, if this record or a later one was read before.
   bool OnRecord(const OwnerRecord& record, std::int64_t offset, Millis now);
+  /// The partition is no longer followed, so the owner's silence means nothing
+  /// until OnEnd is called again.
+  void OnFollowingStopped();
   /// All records before `end` have been read.
   void OnEnd(std::int64_t end, Millis now);
   /// The owner's process with this incarnation has terminated: its address
--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -11,6 +11,8 @@
 static constexpr LogCategory kLog("node");
 static constexpr char kLayoutTopic[] = "keyed.layout";
 static constexpr char kLayoutKey[] = "layout";
+/// How long a node goes on reading the list of VMs that it does not need.
+static constexpr Millis kDirectoryLinger(10'000);
 
 Node::Node(net::asio::io_context& context, Store& store, VmClient& vms,
            Directory& directory, const Clock& clock, NodeSettings settings)
@@ -61,8 +63,9 @@
     const std::uint64_t seed =
         StableHash(settings_.identity.incarnation + "/" + std::to_string(cell));
     members_.push_back(std::make_shared<CellMember>(
-        context_, store_, clock_, settings_.identity, settings_.election, cell,
-        seed, MakeMemberCallbacks(cell)));
+        context_, store_, clock_, settings_.identity, settings_.election,
+        CellMember::Position{cell, layout_.cells}, seed,
+        MakeMemberCallbacks(cell)));
     members_.back()->Start();
   }
 }
@@ -77,10 +80,13 @@
                                Millis timeout) {
     return CallPeer(std::move(address), std::move(request), timeout);
   };
+  callbacks.probe_peer = [this](std::string address, OwnerProbe probe) {
+    return ProbePeer(std::move(address), std::move(probe));
+  };
   callbacks.on_load = [this, cell](const CellLoad& load) {
     balancer_->OnLoad(cell, load);
   };
-  callbacks.on_tail_record = [this, cell](const records::Bytes& record) {
+  callbacks.on_tail_record = [this, cell](const jobs::TailRecord& record) {
     OnTailRecord(cell, record);
   };
   return callbacks;
@@ -97,6 +103,13 @@
   callbacks.forward_request = [this](JobRequest request) {
     return ForwardRequest(std::move(request));
   };
+  callbacks.choose_host = [this](int home_cell, const records::Resources& need,
+                                 int excluded) {
+    return balancer_->ChooseHost(home_cell, need, excluded);
+  };
+  callbacks.send_delegation = [this](DelegationRequest request) {
+    return SendDelegation(std::move(request));
+  };
   auto owner = std::make_shared<CellOwner>(
       context_, store_, vm_client_, clock_, settings_.owner, ownership,
       std::move(callbacks), std::move(standing));
@@ -111,30 +124,43 @@
 }
 
 void Node::InitializeTails(CellOwner& owner, int owned) {
-  for (const auto& [cell, bytes] : tail_records_) {
-    const auto record = records::Decode<jobs::TailRecord>(bytes);
-    if (!IsOk(record)) continue;
+  for (const auto& [cell, record] : tail_records_) {
     if (cell == owned) {
-      owner.RestoreTails(ValueOf(record));
+      owner.RestoreTails(record);
     } else {
-      owner.MergeTails(cell, ValueOf(record));
+      owner.MergeTails(cell, record);
     }
   }
 }
 
-void Node::OnTailRecord(int cell, const records::Bytes& bytes) {
-  tail_records_[cell] = bytes;
-  if (OwnedCells() == 0) return;
-  const auto record = records::Decode<jobs::TailRecord>(bytes);
-  if (!IsOk(record)) {
-    kLog.Error("event=tail_record_skipped cell=" + std::to_string(cell) +
-               " error=\"" + ErrorOf(record).ToString() + "\"");
-    return;
-  }
+void Node::OnTailRecord(int cell, const jobs::TailRecord& record) {
+  tail_records_[cell] = record;
   for (int other = 0; other < layout_.cells; ++other) {
     CellOwner* owner = members_[other]->Owner();
-    if (owner && other != cell) owner->MergeTails(cell, ValueOf(record));
+    if (owner && other != cell) owner->MergeTails(cell, record);
+  }
+}
+
+bool Node::NeedsDirectory() const {
+  // The layout is made from the list.
+  if (layout_.cells == 0) return layout_end_ >= 0;
+  return std::any_of(members_.begin(), members_.end(), [](const auto& member) {
+    return member->Owns() || member->MayTakeOver();
+  });
+}
+
+void Node::UpdateDirectory() {
+  const Millis now = clock_.Monotonic();
+  if (NeedsDirectory()) {
+    directory_needed_at_ = now;
+    StartDirectory();
+    return;
   }
+  if (!directory_started_ || now - directory_needed_at_ < kDirectoryLinger)
+    return;
+  directory_.Stop();
+  directory_started_ = false;
+  vms_.clear();
 }
 
 void Node::StartDirectory() {
@@ -201,8 +227,8 @@
     if (catalog_.version >= 0) {
       for (const auto& member : members_) member->Tick(OwnedCells());
     }
+    UpdateDirectory();
     if (layout_.cells > 0 || layout_end_ < 0 || writing_layout_) continue;
-    StartDirectory();
     const bool listing_stable =
         !vms_.empty() &&
         clock_.Monotonic() - last_new_vm_ >= settings_.layout_delay;
--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -60,13 +60,31 @@
   /// Serves a caller's request within its time limit. Sets the request's cell
   /// itself.
   net::asio::awaitable<JobReply> Handle(JobRequest request);
-  /// Serves a peer's request, but only for cells that this node owns.
-  net::asio::awaitable<JobReply> HandlePeerRequest(JobRequest request);
+  /// Serves another entry's call. Answers 400 if it is not understood.
+  net::asio::awaitable<net::HttpResponse> HandlePeerCall(
+      net::HttpRequest request);
   /// Hands over all cells. Callers are still served.
   net::asio::awaitable<void> Leave();
 
  private:
   net::asio::awaitable<void> Run();
+  /// Serves a peer's request, but only for cells that this node owns.
+  net::asio::awaitable<JobReply> HandlePeerRequest(JobRequest request);
+  OwnerProbeReply HandleProbe(const OwnerProbe& probe);
+  DelegationReply HandleDelegation(const DelegationRequest& request);
+  /// Sends a delegation to the known owner of its cell, once.
+  net::asio::awaitable<DelegationReply> SendDelegation(
+      DelegationRequest request);
+  net::asio::awaitable<Result<OwnerProbeReply>> ProbePeer(std::string address,
+                                                          OwnerProbe probe);
+  /// Returns the reply's body; empty if the call is not understood.
+  net::asio::awaitable<std::optional<std::string>> ServePeerCall(
+      std::string path, std::string body);
+  template <class Reply>
+  net::asio::awaitable<Result<Reply>> PostToPeer(std::string address,
+                                                 const char* path,
+                                                 std::string body,
+                                                 Millis timeout);
   /// Sends the request to the owner of its cell, and of the cell that the job
   /// moved to. Retries until it is answered or the time is up.
   net::asio::awaitable<JobReply> ForwardRequest(JobRequest request);
@@ -81,9 +99,13 @@
   /// Passes the owners' published tail-latency estimates to a new owner of the
   /// cell `owned`.
   void InitializeTails(CellOwner& owner, int owned);
-  void OnTailRecord(int cell, const records::Bytes& record);
+  void OnTailRecord(int cell, const jobs::TailRecord& record);
   void OnVmListed(const jobs::VmListing& listing);
   void OnVmUnlisted(const std::string& id);
+  /// Reads the list of VMs only while this node owns a cell or is about to:
+  /// each VM rewrites its entry all the time.
+  void UpdateDirectory();
+  bool NeedsDirectory() const;
   void StartDirectory();
   int OwnedCells() const;
   /// Yields one cell if ticks show that the processor is overloaded.
@@ -105,11 +127,12 @@
   std::map<std::string, jobs::VmListing> vms_;
   Millis last_new_vm_;  ///< When a VM was last listed for the first time.
   bool directory_started_ = false;
+  Millis directory_needed_at_;  ///< Last time.
   bool writing_layout_ = false;
   bool leaving_ = false;
   std::vector<std::shared_ptr<CellMember>> members_;
-  /// Encoded tail-latency estimates that the cells' owners published, by cell.
-  std::map<int, records::Bytes> tail_records_;
+  /// Tail-latency estimates that the cells' owners published, by cell.
+  std::map<int, jobs::TailRecord> tail_records_;
   LagWatch lag_watch_;
   std::optional<CellBalancer> balancer_;  ///< Set once the layout is known.
 };
--- /dev/null
+++ b/src/libs/cell/owner_probe.h
@@ -0,0 +1,47 @@
+#ifndef BASILSPUR_CELL_OWNER_PROBE_H_
+#define BASILSPUR_CELL_OWNER_PROBE_H_
+
+#include <optional>
+#include <string>
+
+#include "cell/cell_load.h"
+#include "jobs/tail_record.h"
+
+namespace basilspur::cell {
+
+/// An entry asks another one whether it owns a cell.
+struct OwnerProbe {
+  int cell = 0;
+  std::string incarnation;  ///< Identifies the asking process.
+  std::string data_center;  ///< Of the asking entry.
+  /// The asking entry should take over other cells only if no other entry can:
+  /// it owns a cell already, or its machine is slow.
+  bool burdened = false;
+  bool wants_tails = false;
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.cell, self.incarnation, self.data_center, self.burdened,
+            self.wants_tails);
+  }
+};
+
+struct OwnerProbeReply {
+  std::string incarnation;  ///< Identifies the process that replied.
+  /// The replying process owns the cell, and no other entry can have replaced
+  /// it.
+  bool owns = false;
+  bool candidate = false;  ///< See CandidateList.
+  CellLoad load;
+  /// The owner's estimates; empty if they were not asked for.
+  std::optional<jobs::TailRecord> tails = {};
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.incarnation, self.owns, self.candidate, self.load, self.tails);
+  }
+};
+
+}  // namespace basilspur::cell
+
+#endif  // BASILSPUR_CELL_OWNER_PROBE_H_
--- a/src/libs/cell/peer_messages.h
+++ b/src/libs/cell/peer_messages.h
@@ -57,10 +57,13 @@
   ReplyKind kind = ReplyKind::kNotOwner;
   int count = 0;                 ///< Set for kCount and kMoved.
   std::string incarnation = {};  ///< Identifies the process that replied.
+  /// Another entry may have replaced the replying owner: its last renewal was
+  /// stored too long ago.
+  bool may_be_replaced = false;
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
-    archive(self.kind, self.count, self.incarnation);
+    archive(self.kind, self.count, self.incarnation, self.may_be_replaced);
   }
 };
 
--- a/src/libs/cell/signal.h
+++ b/src/libs/cell/signal.h
@@ -25,6 +25,14 @@
         net::asio::redirect_error(net::asio::use_awaitable, ignored));
   }
 
+  /// Completes at the next NotifyAll(), or after `timeout`. Only one coroutine
+  /// may wait this way, and no other one at the same time.
+  net::asio::awaitable<void> WaitFor(Millis timeout) {
+    timer_.ExpireAfter(timeout);
+    co_await Wait();
+    timer_.ExpireNever();
+  }
+
  private:
   net::Timer timer_;
 };
--- a/src/libs/cell/topic_watcher.cc
+++ b/src/libs/cell/topic_watcher.cc
@@ -28,7 +28,7 @@
 
 net::asio::awaitable<bool> TopicWatcher::ReadSnapshot() {
   const Result<NewestRecords> newest = co_await store_.ReadNewest(partition_);
-  if (!IsOk(newest)) co_return false;
+  if (stopped_ || !IsOk(newest)) co_return false;
   std::set<std::string> deleted = keys_;
   for (const KeyedRecord& record : ValueOf(newest).records) {
     deleted.erase(record.key);
@@ -51,6 +51,7 @@
     }
     const Result<RecordSlice> read =
         co_await store_.ReadFrom(partition_, next_offset_, settings_.max_wait);
+    if (stopped_) co_return;
     if (!IsOk(read)) {
       if (!failing)
         kLog.Warning(
--- a/src/libs/cell/topic_watcher.h
+++ b/src/libs/cell/topic_watcher.h
@@ -39,6 +39,7 @@
 
   /// Runs until Stop().
   net::asio::awaitable<void> Run();
+  /// No callback is called any more.
   void Stop() { stopped_ = true; }
 
  private:
--- a/tests/auto/cell/cell_balancer_test.cc
+++ b/tests/auto/cell/cell_balancer_test.cc
@@ -84,3 +84,23 @@
     CHECK(balancer.ChooseCell(0, IdOf(i), MakeJob(6'000, 5, false)) != 3);
   }
 }
+
+TEST_CASE("a task without a place goes to the cell with the largest room") {
+  CellBalancer balancer = MakeBalancer(500'000);
+  const records::Resources need{3'500, 1'000, 0};
+  CHECK(!balancer.ChooseHost(0, need, -1));
+  CellLoad load{kCapacity, 500'000, 0, 0};
+  load.largest_room = {9'000, 4'000, 0};
+  balancer.OnLoad(0, load);
+  load.largest_room = {4'000, 4'000, 0};
+  balancer.OnLoad(2, load);
+  load.largest_room = {8'000, 4'000, 0};
+  balancer.OnLoad(4, load);
+  CHECK(balancer.ChooseHost(0, need, -1) == 4);
+  // What was given away counts until the cell publishes its load again.
+  CHECK(balancer.ChooseHost(0, need, -1) == 4);
+  CHECK(balancer.ChooseHost(0, need, -1) == 2);
+  CHECK(!balancer.ChooseHost(0, need, -1));
+  balancer.OnLoad(4, load);
+  CHECK(!balancer.ChooseHost(0, need, /*excluded=*/4));
+}
--- a/tests/auto/cell/cell_member_fixture.h
+++ b/tests/auto/cell/cell_member_fixture.h
@@ -75,6 +75,10 @@
   std::vector<CellOwner::Ownership> ownerships;  ///< Of all owners made.
   std::vector<jobs::VmListing> listings;         ///< Given to new owners.
   JobReply peer_reply;  ///< Answers requests to other entries.
+  /// Answers probes of other entries.
+  Result<OwnerProbeReply> probe_reply =
+      Error{ErrorCode::kTimeout, "receive", "", "no answer"};
+  int probes = 0;
   std::shared_ptr<CellMember> member;
 };
 
--- a/tests/auto/cell/fake_store.h
+++ b/tests/auto/cell/fake_store.h
@@ -50,6 +50,8 @@
   bool watchers_cut = false;
   /// ReadNewest fails.
   bool newest_unreadable = false;
+  /// ReadNewest fails for this topic.
+  std::string unreadable_topic;
   /// Number of calls to AppendAt.
   int conditional_appends = 0;
 
--- a/tests/sim/promise_checker.cc
+++ b/tests/sim/promise_checker.cc
@@ -151,10 +151,39 @@
   return true;
 }
 
+void PromiseChecker::OnCancelled(const std::string& job) {
+  trace_.Add("cancelled " + job);
+  cancelled_[job] = clock_.Monotonic();
+}
+
+bool PromiseChecker::IsRunning(const jobs::TaskRef& task) const {
+  const auto found = tasks_.find(task);
+  return found != tasks_.end() && !found->second.runs.empty();
+}
+
+void PromiseChecker::CheckCancelled(const std::string& job,
+                                    cell::ReplyKind state) {
+  if (state != cell::ReplyKind::kWasCancelled &&
+      state != cell::ReplyKind::kDone) {
+    Report("MIXED: cancelled job " + job + " is shown in state " +
+           std::to_string(static_cast<int>(state)));
+  }
+  for (auto it = tasks_.lower_bound({job, 0, 0, 0});
+       it != tasks_.end() && it->first.job == job; ++it) {
+    if (it->second.runs.empty()) continue;
+    Report("UNASKED: " + it->first.ToString() +
+           " runs after its job was cancelled");
+  }
+}
+
 void PromiseChecker::CheckAfterCalm(
     const std::string& job, cell::ReplyKind state,
     const std::function<bool(const records::Resources&)>& has_room) {
   const jobs::JobSpec& spec = specs_.at(job);
+  if (cancelled_.contains(job)) {
+    CheckCancelled(job, state);
+    return;
+  }
   if (state == cell::ReplyKind::kNoSuchJob) {
     Report("LOST: accepted job " + job + " is unknown after the calm");
     return;
--- a/tests/sim/promise_checker.h
+++ b/tests/sim/promise_checker.h
@@ -28,6 +28,8 @@
   /// A caller is about to submit the job.
   void OnSubmit(const std::string& job, const jobs::JobSpec& spec);
   void OnAccepted(const std::string& job);
+  /// A caller was told that the job is cancelled.
+  void OnCancelled(const std::string& job);
   void OnShown(const std::string& job, cell::ReplyKind state);
 
   /// A run was started on a VM. `fits` is whether the VM had room for it.
@@ -43,6 +45,7 @@
 
   /// Number of runs of the task that were started.
   int StartsOf(const jobs::TaskRef& task) const;
+  bool IsRunning(const jobs::TaskRef& task) const;
   /// Accepted jobs in the order of their ids.
   const std::set<std::string>& Accepted() const { return accepted_; }
   /// Reports what was lost after a calm period: accepted jobs that are not in
@@ -73,6 +76,7 @@
     Millis last_run_end;
   };
 
+  void CheckCancelled(const std::string& job, cell::ReplyKind state);
   bool RanLately(const std::string& job) const;
   bool WaitsDespiteRoom(
       const std::string& job,
@@ -84,6 +88,7 @@
   Trace& trace_;
   std::map<std::string, jobs::JobSpec> specs_;
   std::set<std::string> accepted_;
+  std::map<std::string, Millis> cancelled_;  ///< When it was confirmed.
   std::map<jobs::TaskRef, TaskState> tasks_;
   std::vector<std::string> violations_;
 };
--- a/tests/sim/simulated_vm.h
+++ b/tests/sim/simulated_vm.h
@@ -37,6 +37,7 @@
   /// Another incarnation has taken over the address.
   void Replace() { replaced_ = true; }
 
+  records::Resources Used() const;
   bool HasRoomFor(const records::Resources& need) const {
     return (Used() + need).FitsIn(listing_.capacity);
   }
@@ -67,7 +68,6 @@
   cell::CommandAnswer Stop(const jobs::RunCommand& command);
   bool IsStale(std::int64_t token);
   void Extend(std::int64_t deadline_ms);
-  records::Resources Used() const;
   std::int64_t ClockMs() const;
 
   net::asio::io_context& network_;
