net, cell: An exception ends only the coroutine that it leaves, and says so

A record that a watcher's reader throws on is skipped. A request whose handler fails no longer counts as open for good.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -5,6 +5,7 @@
 
 #include "base/hashing.h"
 #include "base/logging.h"
+#include "net/spawn.h"
 
 namespace basilspur::cell {
 
@@ -77,7 +78,7 @@
       [self](std::int64_t end) {
         self->election_.OnEnd(end, self->clock_.Monotonic());
       });
-  net::asio::co_spawn(context_, watcher_->Run(), net::asio::detached);
+  watcher_->Start(context_);
 }
 
 void CellMember::OnRecord(const KeyedRecord& record) {
@@ -156,10 +157,9 @@
   ownership.journal_complete = election_.HasCompleteJournal();
   ownership.unreachable_vms = unreachable_vms_;
   owner_ = callbacks_.make_owner(ownership, MakeStanding());
-  net::asio::co_spawn(context_, owner_->TakeOver(), [](auto, bool) {});
+  owner_->Start();
   for (const FormerOwner& former : election_.FormerOwners()) {
-    net::asio::co_spawn(context_, RequestStepDown(former, owner_token_),
-                        net::asio::detached);
+    StartStepDownRequests(former, owner_token_);
   }
 }
 
@@ -181,6 +181,14 @@
   return standing;
 }
 
+void CellMember::StartStepDownRequests(const FormerOwner& former,
+                                       std::int64_t token) {
+  const auto self = shared_from_this();
+  net::Spawn(
+      context_, RequestStepDown(former, token), "step_down_request",
+      [self, former, token] { self->StartStepDownRequests(former, token); });
+}
+
 net::asio::awaitable<void> CellMember::RequestStepDown(FormerOwner former,
                                                        std::int64_t token) {
   const auto self = shared_from_this();
@@ -226,8 +234,8 @@
   const Millis now = clock_.Monotonic();
   UpdateFollowing();
   if (follow_policy_.ShouldProbe(Knowledge(), owned > 0, now)) {
-    net::asio::co_spawn(context_, ProbeOwner(*election_.Owner(), owned > 0),
-                        net::asio::detached);
+    net::Spawn(context_, ProbeOwner(*election_.Owner(), owned > 0),
+               "owner_probe");
   }
   if (election_.IsExpired(now)) {
     kLog.Warning(
@@ -253,9 +261,8 @@
   appending_ = true;
   // The coroutine starts later. Records that are read until then are not
   // considered in `record`, so it must not be appended after them.
-  net::asio::co_spawn(context_,
-                      AppendOwnerRecord(std::move(record), election_.End()),
-                      net::asio::detached);
+  net::Spawn(context_, AppendOwnerRecord(std::move(record), election_.End()),
+             "owner_record_append");
 }
 
 net::asio::awaitable<void> CellMember::AppendOwnerRecord(
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -125,6 +125,7 @@
   net::asio::awaitable<void> RereadPartition(Millis sent);
   CellOwner::Standing MakeStanding();
   void StopOwner();
+  void StartStepDownRequests(const FormerOwner& former, std::int64_t token);
   /// Asks a former owner to step down until it confirms or `token` has ended.
   net::asio::awaitable<void> RequestStepDown(FormerOwner former,
                                              std::int64_t token);
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/logging.h"
+#include "net/spawn.h"
 
 namespace basilspur::cell {
 
@@ -70,11 +71,26 @@
   return false;
 }
 
-net::asio::awaitable<bool> CellOwner::TakeOver() {
+void CellOwner::Start() {
+  net::Spawn(context_, TakeOver(), "take_over",
+             [self = shared_from_this()] { self->HandleFailure(); });
+}
+
+void CellOwner::HandleFailure() {
+  if (stopped_) return;
+  kLog.Error(
+      "event=owner_failed reason=\"unexpected error; ending this ownership, "
+      "the next owner restores the cell\"" +
+      LogFields());
+  Stop();
+  standing_.on_ended();
+}
+
+net::asio::awaitable<void> CellOwner::TakeOver() {
   const auto self = shared_from_this();
   const Millis started = Now();
-  if (!co_await BeginEpoch()) co_return false;
-  if (!co_await ReadJournal()) co_return false;
+  if (!co_await BeginEpoch()) co_return;
+  if (!co_await ReadJournal()) co_return;
   for (const jobs::UnreachableVm& vm : ownership_.unreachable_vms)
     scheduler_.BoundLeaseExpiry(vm);
   const int first_run =
@@ -83,7 +99,8 @@
   if (ownership_.journal_complete) scheduler_.MarkJournalComplete();
   if (ownership_.handed_over || predecessors_stopped_) OnPredecessorsStopped();
   ready_ = true;
-  net::asio::co_spawn(context_, RunJournalWriter(), net::asio::detached);
+  net::Spawn(context_, RunJournalWriter(), "journal_writer",
+             [self] { self->HandleFailure(); });
   for (const jobs::VmListing& listing : scheduler_.VmsToRenew()) {
     OnVmListed(listing);
   }
@@ -91,7 +108,6 @@
             " took_ms=" + std::to_string((Now() - started).count) +
             " jobs=" + std::to_string(scheduler_.ActiveJobs()));
   SchedulePlan();
-  co_return true;
 }
 
 void CellOwner::OnCatalog(const jobs::Catalog& catalog) {
@@ -107,7 +123,12 @@
   }
   scheduler_.UpsertVm(listing, Now());
   if (!ready_ || !renewing_vms_.insert(listing.id).second) return;
-  net::asio::co_spawn(context_, RunRenewals(listing.id), net::asio::detached);
+  StartRenewals(listing.id);
+}
+
+void CellOwner::StartRenewals(const std::string& id) {
+  net::Spawn(context_, RunRenewals(id), "vm_renewals",
+             [self = shared_from_this(), id] { self->StartRenewals(id); });
 }
 
 std::vector<jobs::UnreachableVm> CellOwner::CollectUnreachableVms() {
@@ -131,7 +152,7 @@
   if (ready_ &&
       Now() - last_moved_job_check_ >= settings_.moved_job_check_interval) {
     last_moved_job_check_ = Now();
-    net::asio::co_spawn(context_, CheckMovedJob(), net::asio::detached);
+    net::Spawn(context_, CheckMovedJob(), "moved_job_check");
   }
   if (!ready_ || Now() - last_summary_log_ < settings_.summary_log_interval)
     return;
@@ -229,8 +250,13 @@
     std::vector<jobs::RunCommand> commands =
         scheduler_.Plan(clock_.Wall().count, Now());
     for (jobs::RunCommand& command : commands) {
-      net::asio::co_spawn(context_, SendCommand(std::move(command)),
-                          net::asio::detached);
+      net::Spawn(context_, SendCommand(command), "run_command",
+                 [self = shared_from_this(), command] {
+                   // It may have been carried out.
+                   self->scheduler_.OnCommandOutcome(
+                       command, jobs::RunCommandOutcome::kUnknown, 0,
+                       self->Now(), self->Now());
+                 });
     }
   }
   NotifyJournalWriter();
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -110,9 +110,8 @@
             Callbacks callbacks, Standing standing);
 
   /// Fences earlier owners off the journal, restores the cell's state from it
-  /// and starts scheduling. Returns false if a later owner has fenced this one,
-  /// or after Stop().
-  net::asio::awaitable<bool> TakeOver();
+  /// and starts scheduling. If that fails unexpectedly, the ownership ends.
+  void Start();
 
   void OnCatalog(const jobs::Catalog& catalog);
   void OnVmListed(const jobs::VmListing& listing);
@@ -150,6 +149,12 @@
   CellLoad Load() const;
 
  private:
+  /// Gives up if a later owner has fenced this one, or after Stop().
+  net::asio::awaitable<void> TakeOver();
+  /// Something that the ownership does not work without has failed. Ends it, so
+  /// that an owner restores the cell from the journal.
+  void HandleFailure();
+  void StartRenewals(const std::string& id);
   net::asio::awaitable<bool> BeginEpoch();
   net::asio::awaitable<bool> ReadJournal();
   void RestoreVm(const KeyedRecord& record);
--- a/src/libs/cell/cell_owner_delegations.cc
+++ b/src/libs/cell/cell_owner_delegations.cc
@@ -2,6 +2,7 @@
 
 #include "base/logging.h"
 #include "cell/cell_owner.h"
+#include "net/spawn.h"
 
 namespace basilspur::cell {
 
@@ -26,8 +27,8 @@
   }
   for (auto& [cell, delegation] : scheduler_.DelegationsToSend(Now())) {
     delegation.record.home_cell = ownership_.cell;
-    net::asio::co_spawn(context_, SendDelegation({cell, std::move(delegation)}),
-                        net::asio::detached);
+    net::Spawn(context_, SendDelegation({cell, std::move(delegation)}),
+               "delegation");
   }
   NotifyJournalWriter();
 }
--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -5,6 +5,7 @@
 
 #include "base/hashing.h"
 #include "base/logging.h"
+#include "net/spawn.h"
 
 namespace basilspur::cell {
 
@@ -32,8 +33,12 @@
       store_, Partition{kLayoutTopic, 0}, WatchSettings{},
       [this](const KeyedRecord& record) { OnLayout(record); },
       [this](std::int64_t end) { layout_end_ = end; });
-  net::asio::co_spawn(context_, layout_watcher_->Run(), net::asio::detached);
-  net::asio::co_spawn(context_, Run(), net::asio::detached);
+  layout_watcher_->Start(context_);
+  StartTicks();
+}
+
+void Node::StartTicks() {
+  net::Spawn(context_, Run(), "node_ticks", [this] { StartTicks(); });
 }
 
 bool Node::IsReady() const {
@@ -212,8 +217,7 @@
     return;
   for (const auto& member : members_) {
     if (!member->Owns()) continue;
-    net::asio::co_spawn(context_, member->Yield(settings_.yield_cooldown),
-                        net::asio::detached);
+    net::Spawn(context_, member->Yield(settings_.yield_cooldown), "cell_yield");
     return;
   }
 }
@@ -234,7 +238,8 @@
         clock_.Monotonic() - last_new_vm_ >= settings_.layout_delay;
     if (!listing_stable || catalog_.version < 0) continue;
     writing_layout_ = true;
-    net::asio::co_spawn(context_, WriteLayout(), net::asio::detached);
+    net::Spawn(context_, WriteLayout(), "layout_writer",
+               [this] { writing_layout_ = false; });
   }
 }
 
--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -67,6 +67,7 @@
   net::asio::awaitable<void> Leave();
 
  private:
+  void StartTicks();
   net::asio::awaitable<void> Run();
   /// Serves a peer's request, but only for cells that this node owns.
   net::asio::awaitable<JobReply> HandlePeerRequest(JobRequest request);
--- a/src/libs/cell/topic_watcher.cc
+++ b/src/libs/cell/topic_watcher.cc
@@ -1,8 +1,10 @@
 #include "cell/topic_watcher.h"
 
+#include <exception>
 #include <utility>
 
 #include "base/logging.h"
+#include "net/spawn.h"
 
 namespace basilspur::cell {
 
@@ -17,13 +19,27 @@
       on_record_(std::move(on_record)),
       on_read_(std::move(on_read)) {}
 
+void TopicWatcher::Start(net::asio::io_context& context) {
+  const auto self = shared_from_this();
+  net::Spawn(context, Run(), "topic_watcher", [self, &context] {
+    self->restarted_ = true;
+    self->Start(context);
+  });
+}
+
 void TopicWatcher::ApplyRecord(const KeyedRecord& record) {
   if (record.value.empty()) {
     keys_.erase(record.key);
   } else {
     keys_.insert(record.key);
   }
-  on_record_(record);
+  try {
+    on_record_(record);
+  } catch (const std::exception& error) {
+    // It would fail again and again.
+    kLog.Error("event=record_skipped topic=" + partition_.topic +
+               " key=" + record.key + " error=\"" + error.what() + "\"");
+  }
 }
 
 net::asio::awaitable<bool> TopicWatcher::ReadSnapshot() {
@@ -44,6 +60,8 @@
   const auto self = shared_from_this();
   bool failing = false;
   while (!stopped_) {
+    if (restarted_) co_await net::Sleep(settings_.retry_interval);
+    restarted_ = false;
     if (next_offset_ < 0) {
       if (!co_await ReadSnapshot())
         co_await net::Sleep(settings_.retry_interval);
--- a/src/libs/cell/topic_watcher.h
+++ b/src/libs/cell/topic_watcher.h
@@ -37,12 +37,13 @@
   TopicWatcher(Store& store, Partition partition, WatchSettings settings,
                OnRecord on_record, OnRead on_read);
 
-  /// Runs until Stop().
-  net::asio::awaitable<void> Run();
+  /// Follows the partition until Stop().
+  void Start(net::asio::io_context& context);
   /// No callback is called any more.
   void Stop() { stopped_ = true; }
 
  private:
+  net::asio::awaitable<void> Run();
   /// Reads the newest record of each key. Returns false on failure.
   net::asio::awaitable<bool> ReadSnapshot();
   void ApplyRecord(const KeyedRecord& record);
@@ -55,6 +56,7 @@
   std::int64_t next_offset_ = -1;  ///< -1: the newest records are due.
   std::set<std::string> keys_;
   bool stopped_ = false;
+  bool restarted_ = false;  ///< After an exception.
 };
 
 }  // namespace basilspur::cell
--- a/src/libs/net/asio.h
+++ b/src/libs/net/asio.h
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "net/address.h"
+#include "net/spawn.h"
 
 namespace basilspur::net {
 
@@ -15,15 +16,28 @@
 static constexpr std::chrono::seconds kIdleTimeout(60);
 static constexpr Millis kAcceptRetryInterval(50);
 
+/// Counts a request as active while it exists.
+class ActiveRequest {
+ public:
+  explicit ActiveRequest(int* count) : count_(count) {
+    if (count_) ++*count_;
+  }
+  ~ActiveRequest() {
+    if (count_) --*count_;
+  }
+  ActiveRequest(const ActiveRequest&) = delete;
+  ActiveRequest& operator=(const ActiveRequest&) = delete;
+
+ private:
+  int* count_;
+};
+
 /// The state that all connections of a server share.
 struct ServerState {
   HttpHandler handler;
   HttpServerOptions options;
 
   bool IsDraining() const { return options.draining && *options.draining; }
-  void AddActiveRequests(int change) const {
-    if (options.active_requests) *options.active_requests += change;
-  }
 };
 
 using SharedServerState = std::shared_ptr<const ServerState>;
@@ -88,7 +102,7 @@
       co_await RejectRequest(stream, http::error::bad_transfer_encoding);
       co_return;
     }
-    state->AddActiveRequests(1);
+    const ActiveRequest active(state->options.active_requests);
     const bool client_keeps_alive = parser.get().keep_alive();
     HttpResponse response =
         co_await state->handler(ToRequest(parser.release()));
@@ -103,14 +117,13 @@
     stream.expires_after(kIdleTimeout);
     co_await http::async_write(
         stream, message, asio::redirect_error(asio::use_awaitable, failure));
-    state->AddActiveRequests(-1);
     if (failure || !keep_alive) co_return;
   }
 }
 
-static asio::awaitable<void> AcceptLoop(asio::ip::tcp::acceptor acceptor,
+static asio::awaitable<void> AcceptLoop(asio::io_context& context,
+                                        asio::ip::tcp::acceptor acceptor,
                                         SharedServerState state) {
-  const auto executor = co_await asio::this_coro::executor;
   for (;;) {
     error_code failure;
     asio::ip::tcp::socket socket = co_await acceptor.async_accept(
@@ -122,9 +135,10 @@
     }
     error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    asio::co_spawn(executor,
-                   ServeConnection(beast::tcp_stream(std::move(socket)), state),
-                   asio::detached);
+    // If the handler fails, the caller gets no answer: it is not known what was
+    // done.
+    Spawn(context, ServeConnection(beast::tcp_stream(std::move(socket)), state),
+          "http_connection");
   }
 }
 
@@ -148,11 +162,11 @@
   if (!IsOk(listening)) return ErrorOf(listening);
   asio::ip::tcp::acceptor& acceptor = ValueOf(listening);
   const std::uint16_t port = acceptor.local_endpoint().port();
-  asio::co_spawn(
-      context,
-      AcceptLoop(std::move(acceptor), std::make_shared<ServerState>(ServerState{
-                                          std::move(handler), options})),
-      asio::detached);
+  Spawn(context,
+        AcceptLoop(context, std::move(acceptor),
+                   std::make_shared<ServerState>(
+                       ServerState{std::move(handler), options})),
+        "http_accept");
   return port;
 }
 
--- a/tests/auto/cell/cell_member_test.cc
+++ b/tests/auto/cell/cell_member_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <stdexcept>
+#include <utility>
 
 #include "auto/cell/cell_member_fixture.h"
 
@@ -151,3 +152,48 @@
   CHECK(record.unreachable_vms[0].lease_remaining_ms <= 10'000);
   CHECK(record.unreachable_vms[0].lease_remaining_ms > 0);
 }
+
+/// Lists a VM that the journal does not name, so that the owner writes to the
+/// journal once the VM has answered.
+static void ListNewVm(CellMemberFixture& fixture) {
+  jobs::VmListing listing;
+  listing.id = "new";
+  listing.address = "new:1";
+  listing.service = "workers";
+  listing.capacity = {16'000, 64'000, 0};
+  fixture.listings.push_back(listing);
+  fixture.vms.reports["new"].clock_ms = fixture.clock.Monotonic().count;
+}
+
+TEST_CASE("an ownership whose journal writer fails unexpectedly ends") {
+  CellMemberFixture fixture;
+  ListNewVm(fixture);
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.store.on_append_as = [] {
+    throw std::runtime_error("unreadable answer");
+  };
+  fixture.PumpFor(Millis(200));
+  CHECK(!fixture.member->Owns());
+  // Another one begins.
+  fixture.store.on_append_as = nullptr;
+  fixture.TickFor(kSettings.owner_timeout * 2);
+  fixture.PumpFor(Millis(200));
+  REQUIRE(fixture.member->Owner());
+  CHECK(fixture.member->Owner()->IsReady());
+}
+
+TEST_CASE("an ownership that fails unexpectedly at its start ends") {
+  CellMemberFixture fixture;
+  bool failed = false;
+  fixture.store.on_append_as = [&] {
+    if (std::exchange(failed, true)) return;
+    throw std::runtime_error("unreadable answer");
+  };
+  fixture.BecomeOwner();
+  fixture.PumpFor(Millis(50));
+  CHECK(failed);
+  CHECK(fixture.ownerships.size() == 2);
+  REQUIRE(fixture.member->Owner());
+  CHECK(fixture.member->Owner()->IsReady());
+}
