cell: A VM that left is not in use again after a change of owner

Test: 'a VM that left before an owner took over is not in use again' (on the code before it stays listed, by reading).

--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -101,8 +101,9 @@
   ready_ = true;
   net::Spawn(context_, RunJournalWriter(), "journal_writer",
              [self] { self->HandleFailure(); });
+  // Whether these VMs are still listed is for the platform's list to say.
   for (const jobs::VmListing& listing : scheduler_.VmsToRenew()) {
-    OnVmListed(listing);
+    if (renewing_vms_.insert(listing.id).second) StartRenewals(listing.id);
   }
   kLog.Info("event=owner_ready" + LogFields() +
             " took_ms=" + std::to_string((Now() - started).count) +
@@ -152,7 +153,7 @@
   if (ready_ &&
       Now() - last_moved_job_check_ >= settings_.moved_job_check_interval) {
     last_moved_job_check_ = Now();
-    net::Spawn(context_, CheckMovedJob(), "moved_job_check");
+    net::Spawn(context_, CheckMovedJob(shared_from_this()), "moved_job_check");
   }
   if (!ready_ || Now() - last_summary_log_ < settings_.summary_log_interval)
     return;
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -171,11 +171,12 @@
   /// if the request was rejected without any change.
   std::optional<JobReply> Admit(const JobRequest& request);
   net::asio::awaitable<JobReply> ReplyMoved(const JobRequest& request);
-  net::asio::awaitable<void> CheckMovedJob();
+  net::asio::awaitable<void> CheckMovedJob(std::shared_ptr<CellOwner> self);
   /// Delegates tasks that wait for a place, and tells hosts what is delegated
   /// to them.
   void SyncDelegations();
-  net::asio::awaitable<void> SendDelegation(DelegationRequest request);
+  net::asio::awaitable<void> SendDelegation(std::shared_ptr<CellOwner> self,
+                                            DelegationRequest request);
   net::asio::awaitable<JobReply> Cancel(const JobRequest& request);
   void LogRunEnds(const std::string& vm, const jobs::VmReport& report) const;
   void LogJobEnds(const jobs::JournalBatch& batch) const;
--- a/src/libs/cell/cell_owner_delegations.cc
+++ b/src/libs/cell/cell_owner_delegations.cc
@@ -27,15 +27,17 @@
   }
   for (auto& [cell, delegation] : scheduler_.DelegationsToSend(Now())) {
     delegation.record.home_cell = ownership_.cell;
-    net::Spawn(context_, SendDelegation({cell, std::move(delegation)}),
-               "delegation");
+    net::Spawn(
+        context_,
+        SendDelegation(shared_from_this(), {cell, std::move(delegation)}),
+        "delegation");
   }
   NotifyJournalWriter();
 }
 
 net::asio::awaitable<void> CellOwner::SendDelegation(
+    [[maybe_unused]] std::shared_ptr<CellOwner> self,
     DelegationRequest request) {
-  const auto self = shared_from_this();
   const int host = request.cell;
   const std::string job = request.delegation.job;
   const DelegationReply reply =
--- a/src/libs/cell/cell_owner_requests.cc
+++ b/src/libs/cell/cell_owner_requests.cc
@@ -85,8 +85,8 @@
   }
 }
 
-net::asio::awaitable<void> CellOwner::CheckMovedJob() {
-  const auto self = shared_from_this();
+net::asio::awaitable<void> CellOwner::CheckMovedJob(
+    [[maybe_unused]] std::shared_ptr<CellOwner> self) {
   const std::optional<std::string> job = scheduler_.Moved().NextToCheck(
       settings_.scheduler.ended_job_retention, Now());
   if (!job) co_return;
--- a/src/libs/cell/topic_watcher.cc
+++ b/src/libs/cell/topic_watcher.cc
@@ -21,7 +21,7 @@
 
 void TopicWatcher::Start(net::asio::io_context& context) {
   const auto self = shared_from_this();
-  net::Spawn(context, Run(), "topic_watcher", [self, &context] {
+  net::Spawn(context, Run(self), "topic_watcher", [self, &context] {
     self->restarted_ = true;
     self->Start(context);
   });
@@ -56,8 +56,8 @@
   co_return true;
 }
 
-net::asio::awaitable<void> TopicWatcher::Run() {
-  const auto self = shared_from_this();
+net::asio::awaitable<void> TopicWatcher::Run(
+    [[maybe_unused]] std::shared_ptr<TopicWatcher> self) {
   bool failing = false;
   while (!stopped_) {
     if (restarted_) co_await net::Sleep(settings_.retry_interval);
--- a/src/libs/cell/topic_watcher.h
+++ b/src/libs/cell/topic_watcher.h
@@ -43,7 +43,8 @@
   void Stop() { stopped_ = true; }
 
  private:
-  net::asio::awaitable<void> Run();
+  /// `self` keeps the watcher alive from before the coroutine begins.
+  net::asio::awaitable<void> Run(std::shared_ptr<TopicWatcher> self);
   /// Reads the newest record of each key. Returns false on failure.
   net::asio::awaitable<bool> ReadSnapshot();
   void ApplyRecord(const KeyedRecord& record);
--- a/tests/auto/cell/cell_member_test.cc
+++ b/tests/auto/cell/cell_member_test.cc
@@ -197,3 +197,19 @@
   REQUIRE(fixture.member->Owner());
   CHECK(fixture.member->Owner()->IsReady());
 }
+
+TEST_CASE("a VM that left before an owner took over is not in use again") {
+  CellMemberFixture fixture;
+  const Partition journal{"keyed.jobs", 0};
+  const jobs::VmRecord left{0, "left:1"};
+  fixture.store.Append(journal, 0, {{"vleft", records::Encode(left), 0}});
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owner());
+  fixture.PumpFor(Millis(50));
+  REQUIRE(fixture.member->Owner()->SchedulerState().Listing("left"));
+  // No lease of it can last for longer.
+  fixture.TickFor(Millis(18'000));
+  fixture.PumpFor(Millis(50));
+  REQUIRE(fixture.member->Owner());
+  CHECK(!fixture.member->Owner()->SchedulerState().Listing("left"));
+}
