--- a/tests/sim/simulated_store.cc
+++ b/tests/sim/simulated_store.cc
@@ -35,6 +35,7 @@
 AppendAnswer SimulatedStore::AppendAt(const cell::Partition& partition,
                                       std::int64_t expected_end,
                                       const std::vector<KeyedRecord>& records) {
+  ++calls_;
   Content& content = At(partition);
   if (content.end == expected_end) return Append(content, records);
   AppendAnswer answer;
@@ -46,6 +47,7 @@
 AppendAnswer SimulatedStore::AppendAs(const cell::Partition& partition,
                                       const cell::Producer& producer,
                                       const std::vector<KeyedRecord>& records) {
+  ++calls_;
   Content& content = At(partition);
   ProducerState& state = content.producers[producer.name];
   AppendAnswer answer;
@@ -76,6 +78,7 @@
 
 cell::NewestRecords SimulatedStore::ReadNewest(
     const cell::Partition& partition) {
+  ++calls_;
   const Content& content = At(partition);
   cell::NewestRecords newest;
   newest.end = content.end;
@@ -86,6 +89,7 @@
 
 cell::RecordSlice SimulatedStore::ReadFrom(const cell::Partition& partition,
                                            std::int64_t from) {
+  ++calls_;
   const Content& content = At(partition);
   cell::RecordSlice slice;
   slice.next = slice.end = content.end;
--- a/tests/sim/simulated_store.h
+++ b/tests/sim/simulated_store.h
@@ -29,6 +29,8 @@
                              std::int64_t from);
   /// Deletes all but the newest record of each key.
   void ExpireHistory();
+  /// Number of calls so far.
+  std::int64_t Calls() const { return calls_; }
   std::int64_t EndOf(const cell::Partition& partition);
   Wakeup& Appended(const cell::Partition& partition);
 
@@ -52,6 +54,7 @@
       Content& content, const std::vector<cell::KeyedRecord>& records);
 
   std::map<std::pair<std::string, int>, Content> partitions_;
+  std::int64_t calls_ = 0;
 };
 
 }  // namespace basilspur::sim
