--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -102,6 +102,9 @@
   net::asio::awaitable<void> Yield(Millis cooldown);
 
  private:
+  /// How often an owner publishes its tail-latency estimates.
+  static constexpr Millis kTailRecordInterval{3'000};
+
   OwnerKnowledge Knowledge() const;
   /// Starts or stops to follow the cell's records.
   void UpdateFollowing();
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -299,6 +299,8 @@
   /// Returns false if the run was not stopped.
   bool Evacuate(const Vm& from, const RunKey& key, const std::vector<Vm*>& vms,
                 Millis now, std::vector<RunCommand>& commands);
+  static RunCommand MakeStart(const Job& job, const TaskRef& ref,
+                              const Run& run);
   void StartTask(Job& job, const TaskRef& ref, const Placement& place,
                  int number, Millis now, std::vector<RunCommand>& commands);
   void PlanRetries(Job& job, Millis now, std::vector<RunCommand>& commands);
--- /dev/null
+++ b/src/libs/jobs/scheduler_releases.cc
@@ -0,0 +1,78 @@
+#include <algorithm>
+
+#include "jobs/scheduler.h"
+
+namespace basilspur::jobs {
+
+void Scheduler::ReleaseRun(Vm& vm, const TaskRef& ref, int number) {
+  vm.Remove({ref, number});
+  orphaned_runs_.erase({vm.listing.id, {ref, number}});
+  Job* job = FindJob(ref.job);
+  Task* task = job ? job->Find(ref) : nullptr;
+  if (!task) return;
+  std::erase_if(task->runs, [&](const Run& run) {
+    return run.number == number && run.vm == vm.listing.id;
+  });
+}
+
+bool Scheduler::UpdateAbsentRun(Run& run, Millis sent) const {
+  // A run that is being stopped is reported neither as running nor as ended
+  // until it has stopped.
+  const Millis stopped_by =
+      run.confirmed_at + settings_.max_stop_duration + settings_.stop_margin;
+  if (run.stop_confirmed) return sent > stopped_by;
+  if (run.phase == RunPhase::kInDoubt && run.last_command_at == Millis(0)) {
+    // A run of an earlier owner: it has ended or is being stopped.
+    run.phase = RunPhase::kStopping;
+    run.last_command_at = run.confirmed_at = sent;
+    run.stop_confirmed = true;
+    return false;
+  }
+  if (run.phase != RunPhase::kRunning || run.confirmed_at >= sent) return false;
+  if (!run.absent) run.confirmed_at = sent;
+  run.absent = true;
+  return sent >
+         run.confirmed_at + settings_.max_stop_duration + settings_.stop_margin;
+}
+
+bool Scheduler::UpdateAbsentOrphan(RunOnVm& run, Millis sent) const {
+  if (run.absent_since == Millis(0)) run.absent_since = sent;
+  return sent >
+         run.absent_since + settings_.max_stop_duration + settings_.stop_margin;
+}
+
+void Scheduler::ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent) {
+  std::vector<RunKey> absent;
+  for (const auto& [key, charge] : vm.Runs()) {
+    const auto has = [&key = key](const auto& row) {
+      return row.task == key.first && row.run == key.second;
+    };
+    if (std::any_of(report.running.begin(), report.running.end(), has)) {
+      continue;
+    }
+    Job* job = FindJob(key.first.job);
+    Task* task = job ? job->Find(key.first) : nullptr;
+    Run* run = task ? task->FindRun(key.second, vm.listing.id) : nullptr;
+    const bool ended = run ? UpdateAbsentRun(*run, sent)
+                           : UpdateAbsentOrphan(*vm.FindRun(key), sent);
+    if (ended) absent.push_back(key);
+  }
+  for (const RunKey& key : absent) {
+    ReleaseRun(vm, key.first, key.second);
+    Job* job = FindJob(key.first.job);
+    if (job) MarkProgressDirty(*job);
+  }
+}
+
+void Scheduler::ReleaseAllRuns(Vm& vm) {
+  std::vector<RunKey> keys;
+  for (const auto& [key, run] : vm.Runs()) keys.push_back(key);
+  for (const RunKey& key : keys) {
+    ReleaseRun(vm, key.first, key.second);
+    Job* job = FindJob(key.first.job);
+    if (job) MarkProgressDirty(*job);
+  }
+  vm.Clear();
+}
+
+}  // namespace basilspur::jobs
