cell: Renewals that failed unexpectedly begin again after a pause

Found in the read-through: without it an exception that comes back with each answer of one VM would keep the owner busy. And five comments put plainly.

--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -127,9 +127,11 @@
   StartRenewals(listing.id);
 }
 
-void CellOwner::StartRenewals(const std::string& id) {
-  net::Spawn(context_, RunRenewals(id), "vm_renewals",
-             [self = shared_from_this(), id] { self->StartRenewals(id); });
+void CellOwner::StartRenewals(const std::string& id, Millis delay) {
+  net::Spawn(context_, RunRenewals(id, delay), "vm_renewals",
+             [self = shared_from_this(), id] {
+               self->StartRenewals(id, self->settings_.renewal_retry_interval);
+             });
 }
 
 std::vector<jobs::UnreachableVm> CellOwner::CollectUnreachableVms() {
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -149,12 +149,12 @@
   CellLoad Load() const;
 
  private:
-  /// Gives up if a later owner has fenced this one, or after Stop().
+  /// Ends early if a later owner has fenced this one, or after Stop().
   net::asio::awaitable<void> TakeOver();
   /// Something that the ownership does not work without has failed. Ends it, so
   /// that an owner restores the cell from the journal.
   void HandleFailure();
-  void StartRenewals(const std::string& id);
+  void StartRenewals(const std::string& id, Millis delay = Millis(0));
   net::asio::awaitable<bool> BeginEpoch();
   net::asio::awaitable<bool> ReadJournal();
   void RestoreVm(const KeyedRecord& record);
@@ -162,7 +162,7 @@
   net::asio::awaitable<void> RunJournalWriter();
   net::asio::awaitable<bool> AppendToJournal(std::vector<KeyedRecord> records);
   net::asio::awaitable<bool> WriteBatch(const jobs::JournalBatch& batch);
-  net::asio::awaitable<void> RunRenewals(std::string id);
+  net::asio::awaitable<void> RunRenewals(std::string id, Millis delay);
   net::asio::awaitable<bool> RenewOnce(const jobs::VmListing& listing);
   net::asio::awaitable<void> WaitForDurableEnds(std::string id);
   net::asio::awaitable<void> SendCommand(jobs::RunCommand command);
@@ -172,8 +172,8 @@
   std::optional<JobReply> Admit(const JobRequest& request);
   net::asio::awaitable<JobReply> ReplyMoved(const JobRequest& request);
   net::asio::awaitable<void> CheckMovedJob(std::shared_ptr<CellOwner> self);
-  /// Delegates tasks that wait for a place, and tells hosts what is delegated
-  /// to them.
+  /// Delegates tasks that wait for a place, and sends the hosts their
+  /// delegations.
   void SyncDelegations();
   net::asio::awaitable<void> SendDelegation(std::shared_ptr<CellOwner> self,
                                             DelegationRequest request);
--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -122,8 +122,10 @@
   co_return true;
 }
 
-net::asio::awaitable<void> CellOwner::RunRenewals(std::string id) {
+net::asio::awaitable<void> CellOwner::RunRenewals(std::string id,
+                                                  Millis delay) {
   const auto self = shared_from_this();
+  if (delay > Millis(0)) co_await net::Sleep(delay);
   while (!stopped_) {
     const std::optional<jobs::VmListing> vm = scheduler_.Listing(id);
     if (!vm || !co_await RenewOnce(*vm)) break;
--- a/src/libs/cell/delegation_messages.h
+++ b/src/libs/cell/delegation_messages.h
@@ -7,7 +7,7 @@
 
 namespace basilspur::cell {
 
-/// The owner of a job's home cell tells the owner of a host cell what it has
+/// Sent by the owner of a job's home cell to the owner of a host cell: what is
 /// delegated to that cell.
 struct DelegationRequest {
   int cell = 0;  ///< The host cell.
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -51,8 +51,8 @@
   int max_concurrent_evacuations = 8;
   /// How long a long-running task waits for a place before it is delegated.
   Millis delegation_delay{700};
-  /// Interval at which a host is told again what is delegated to it, and while
-  /// a task is recalled.
+  /// Interval at which a delegation is sent again, and the same while a task is
+  /// recalled.
   Millis delegation_interval{1'000};
   Millis recall_interval{200};
   /// How long a delegated task waits for a place at its host before it is
--- a/tests/sim/promise_checker.h
+++ b/tests/sim/promise_checker.h
@@ -28,7 +28,7 @@
   /// A caller is about to submit the job.
   void OnSubmit(const std::string& job, const jobs::JobSpec& spec);
   void OnAccepted(const std::string& job);
-  /// A caller was told that the job is cancelled.
+  /// The cancelling of the job was confirmed to a caller.
   void OnCancelled(const std::string& job);
   void OnShown(const std::string& job, cell::ReplyKind state);
 
