--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -6,14 +6,15 @@
 
 std::vector<TaskRef> Scheduler::TasksToDelegate(Millis now) {
   std::vector<TaskRef> tasks;
-  for (auto& [key, job] : active_jobs_) {
-    if (job->IsGuest() || !job->record.spec.IsLongRunning()) continue;
-    if (!CanStartRuns(*job)) continue;
-    job->ForEachTask([&](const TaskRef& ref, Task& task) {
-      const StepSpec& spec = job->record.spec.steps[ref.step];
+  for (const auto& entry : active_jobs_) {
+    Job& job = *entry.second;
+    if (job.IsGuest() || !job.record.spec.IsLongRunning()) continue;
+    if (!CanStartRuns(job)) continue;
+    job.ForEachTask([&](const TaskRef& ref, Task& task) {
+      const StepSpec& spec = job.record.spec.steps[ref.step];
       const bool waits =
           spec.long_running && !spec.gang && NeedsRun(task, now) &&
-          job->DependenciesDone(*job->FindOccurrence(ref.occurrence), ref.step);
+          job.DependenciesDone(*job.FindOccurrence(ref.occurrence), ref.step);
       if (!waits) {
         task.waiting_since = Millis(0);
         return;
