--- a/tests/sim/simulated_node.cc
+++ b/tests/sim/simulated_node.cc
@@ -32,7 +32,7 @@
                  environment_.find_vm, environment_.need_of),
       balancer_(environment_.cells),
       traced_ownerships_(environment_.cells) {
-  // Without candidates only probes and requests find a silent owner.
+  // With no candidates, a silent owner is noticed by probes and requests only.
   cell::ElectionSettings settings;
   settings.max_candidates = environment_.max_candidates;
   for (int cell = 0; cell < environment_.cells; ++cell) {
