Log how a VM's outage began, and which runs were lost with it

The logs could not tell whether an owner learns of a crash as one: no line said by what sign the runs of a lost VM were released, which runs these were, and for how long they had been running. vm_unreachable now says whether the VM closed or refused the connection or was silent, and vm_runs_lost names the cause and the newest run. The losses are a value that the scheduler hands out; nothing is decided by them yet. What concerns lost VMs moves to a file of its own.

--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -262,6 +262,7 @@
                  });
     }
   }
+  LogVmLosses();
   NotifyJournalWriter();
 }
 
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -164,6 +164,9 @@
   net::asio::awaitable<bool> WriteBatch(const jobs::JournalBatch& batch);
   net::asio::awaitable<void> RunRenewals(std::string id, Millis delay);
   net::asio::awaitable<bool> RenewOnce(const jobs::VmListing& listing);
+  /// A renewal of the VM's lease was not answered.
+  void HandleOutage(const std::string& vm, jobs::VmOutage outage);
+  void LogVmLosses();
   net::asio::awaitable<void> WaitForDurableEnds(std::string id);
   net::asio::awaitable<void> SendCommand(jobs::RunCommand command);
   net::asio::awaitable<JobReply> Submit(const JobRequest& request);
--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -103,25 +103,63 @@
       HandleFenced();
       co_return false;
     case RenewalFailure::kRestarted:
-      scheduler_.OnVmRestarted(vm.id);
+      scheduler_.OnVmRestarted(vm.id, Now());
       kLog.Info(
           "event=vm_restarted reason=\"the VM answered as another incarnation; "
           "releasing its runs\" vm=" +
           vm.id);
       SchedulePlan();
       co_return false;
+    case RenewalFailure::kDisconnected:
+      HandleOutage(vm.id, jobs::VmOutage::kDisconnected);
+      break;
     case RenewalFailure::kNoAnswer:
-      scheduler_.OnVmUnreachable(vm.id, Now());
-      kLog.Info(
-          "event=vm_unreachable reason=\"lease renewal not answered; "
-          "retrying\" vm=" +
-          vm.id);
-      co_await net::Sleep(settings_.renewal_retry_interval);
-      co_return true;
+      HandleOutage(vm.id, jobs::VmOutage::kSilent);
+      break;
   }
+  co_await net::Sleep(settings_.renewal_retry_interval);
   co_return true;
 }
 
+static const char* NameOf(jobs::VmOutage outage) {
+  return outage == jobs::VmOutage::kDisconnected ? "disconnected" : "silent";
+}
+
+void CellOwner::HandleOutage(const std::string& vm, jobs::VmOutage outage) {
+  scheduler_.OnVmUnreachable(vm, outage, Now());
+  kLog.Info(
+      "event=vm_unreachable reason=\"lease renewal not answered; "
+      "retrying\" vm=" +
+      vm + " outage=" + NameOf(outage));
+}
+
+/// Returns the run whose start was confirmed last; null if all runs are of
+/// earlier owners.
+static const jobs::LostRun* NewestOf(const jobs::VmLoss& loss) {
+  const jobs::LostRun* newest = nullptr;
+  for (const jobs::LostRun& run : loss.runs) {
+    if (!run.age) continue;
+    if (!newest || *run.age < *newest->age) newest = &run;
+  }
+  return newest;
+}
+
+void CellOwner::LogVmLosses() {
+  for (const jobs::VmLoss& loss : scheduler_.TakeVmLosses()) {
+    const bool restarted = loss.cause == jobs::VmLossCause::kRestarted;
+    std::string newest;
+    if (const jobs::LostRun* run = NewestOf(loss)) {
+      newest = " newest_task=" + run->task.ToString() +
+               " newest_run=" + std::to_string(run->run) +
+               " newest_age_ms=" + std::to_string(run->age->count);
+    }
+    kLog.Info("event=vm_runs_lost vm=" + loss.vm +
+              " cause=" + (restarted ? "restarted" : "lease_expired") +
+              " outage=" + (loss.outage ? NameOf(*loss.outage) : "none") +
+              " runs=" + std::to_string(loss.runs.size()) + newest);
+  }
+}
+
 net::asio::awaitable<void> CellOwner::RunRenewals(std::string id,
                                                   Millis delay) {
   const auto self = shared_from_this();
--- a/src/libs/cell/vm_client.h
+++ b/src/libs/cell/vm_client.h
@@ -25,9 +25,10 @@
 };
 
 enum class RenewalFailure {
-  kStaleToken,  ///< The VM has accepted a newer owner's token.
-  kRestarted,   ///< The VM has restarted since it was listed.
-  kNoAnswer,
+  kStaleToken,    ///< The VM has accepted a newer owner's token.
+  kRestarted,     ///< The VM has restarted since it was listed.
+  kDisconnected,  ///< The VM closed or refused the connection.
+  kNoAnswer,      ///< Nothing came back in time, or nothing that is valid.
 };
 
 using RenewalAnswer = std::variant<jobs::VmReport, RenewalFailure>;
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -32,6 +32,8 @@
   Millis confirmed_at;
   Millis created_at;  ///< When the run was started or found; 0: restored run.
   Millis progressed_at;  ///< When `percent` last rose.
+  /// When this owner first learned that the VM executes the run; 0: not yet.
+  Millis running_since;
   int starts_sent = 0;
   /// Number of the first journal batch that lists the run; 0: restored run.
   std::int64_t journal_batch = 0;
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -24,6 +24,7 @@
 #include "jobs/unplaceable_tasks.h"
 #include "jobs/unreachable_vm.h"
 #include "jobs/vm.h"
+#include "jobs/vm_loss.h"
 #include "jobs/waiting_task.h"
 
 namespace basilspur::jobs {
@@ -155,9 +156,12 @@
   void OnReport(const std::string& vm, const VmReport& report, Millis sent,
                 Millis now);
   /// A renewal of the VM's lease was not answered.
-  void OnVmUnreachable(const std::string& vm, Millis now);
+  void OnVmUnreachable(const std::string& vm, VmOutage outage, Millis now);
   /// The VM has restarted, so no run of this incarnation is left.
-  void OnVmRestarted(const std::string& vm);
+  void OnVmRestarted(const std::string& vm, Millis now);
+  /// Returns the incarnations of VMs that were lost with runs on them since the
+  /// last call.
+  std::vector<VmLoss> TakeVmLosses();
   /// Processes the outcome of a command that was sent at `sent`. `clock_ms` is
   /// the VM's clock in the answer; 0 if there is none.
   void OnCommandOutcome(const RunCommand& command, RunCommandOutcome outcome,
@@ -247,6 +251,9 @@
   void ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent);
   void ReleaseRun(Vm& vm, const TaskRef& ref, int number);
   void ReleaseAllRuns(Vm& vm);
+  /// No run of the VM's incarnation is left, and none was reported as ended.
+  void LoseRuns(Vm& vm, VmLossCause cause, Millis now);
+  VmLoss MakeVmLoss(const Vm& vm, VmLossCause cause, Millis now);
   void ProcessExpiredLeases(Millis now);
   void ApplyDone(Job& job, const TaskRef& ref);
   void ApplyFailure(Job& job, const TaskRef& ref, Vm& vm, Millis now);
@@ -354,6 +361,7 @@
   /// Runs on VMs that belong to no task and have to be stopped, with the time
   /// of the last stop command.
   std::map<std::pair<std::string, RunKey>, Millis> orphaned_runs_;
+  std::vector<VmLoss> vm_losses_;  ///< Not yet taken by TakeVmLosses.
   bool all_vms_reconciled_ = true;
   bool journal_complete_ = false;
   Millis last_check_at_;  ///< Of retries, stalled runs and paces.
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -57,6 +57,7 @@
   }
   tails_.Observe(*vm, now);
   vm->reachable = true;
+  vm->outage.reset();
   vm->lease_expired = false;
   if (vm->in_journal) return;
   dirty_vms_.try_emplace(id, vm->last_end);
@@ -104,6 +105,7 @@
     run->confirmed_at = now;
     run->progressed_at = now;
   }
+  if (run->running_since == Millis(0)) run->running_since = now;
   run->absent = false;
   if (row.percent > run->percent) {
     run->percent = row.percent;
@@ -191,41 +193,6 @@
   vm.quarantined_until = now + settings_.quarantine_duration;
 }
 
-void Scheduler::OnVmUnreachable(const std::string& id, Millis now) {
-  Vm* vm = FindVm(id);
-  if (!vm) return;
-  if (vm->reachable) vm->unreachable_since = now;
-  vm->reachable = false;
-}
-
-void Scheduler::OnVmRestarted(const std::string& id) {
-  Vm* vm = FindVm(id);
-  if (!vm) return;
-  ReleaseAllRuns(*vm);
-  vm->reachable = false;
-  vm->reconciled = true;
-  vm->lease_expired = true;
-}
-
-void Scheduler::ProcessExpiredLeases(Millis now) {
-  all_vms_reconciled_ = true;
-  for (auto it = vms_.begin(); it != vms_.end();) {
-    Vm& vm = *it->second;
-    if (!vm.reachable && !vm.lease_expired && vm.HasLeaseExpired(now)) {
-      ReleaseAllRuns(vm);
-      vm.lease_expired = true;
-      vm.reconciled = true;
-    }
-    all_vms_reconciled_ = all_vms_reconciled_ && vm.reconciled;
-    const bool removable = !vm.listed && vm.Runs().empty() && vm.lease_expired;
-    if (removable) {
-      pending_deletions_.push_back({"v" + it->first, {}});
-      dirty_vms_.erase(it->first);
-    }
-    it = removable ? vms_.erase(it) : std::next(it);
-  }
-}
-
 void Scheduler::OnCommandOutcome(const RunCommand& command,
                                  RunCommandOutcome outcome,
                                  std::int64_t clock_ms, Millis sent,
@@ -234,7 +201,7 @@
   if (!vm) return;
   if (clock_ms > 0) vm->UpdateClock(clock_ms, sent, now);
   if (outcome == RunCommandOutcome::kRestarted) {
-    OnVmRestarted(command.vm);
+    OnVmRestarted(command.vm, now);
     return;
   }
   Job* job = FindJob(command.task.job);
@@ -260,6 +227,7 @@
       run->phase = RunPhase::kRunning;
       run->confirmed_at = now;
       run->progressed_at = now;
+      run->running_since = now;
       if (charged_run) charged_run->confirmed = true;
       return;
     case RunCommandOutcome::kUnknown:
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -12,6 +12,7 @@
 #include "jobs/step_spec.h"
 #include "jobs/task_ref.h"
 #include "jobs/vm_listing.h"
+#include "jobs/vm_loss.h"
 #include "jobs/vm_report.h"
 
 namespace basilspur::jobs {
@@ -123,6 +124,9 @@
   bool listed = true;        ///< The VM is in the platform's directory.
   bool reachable = false;    ///< The VM answered the last renewal.
   Millis unreachable_since;  ///< Valid only while the VM is unreachable.
+  /// How the present outage began; empty: no call has failed since the last
+  /// answer.
+  std::optional<VmOutage> outage;
   /// A record that is or may become the newest one states an upper bound for
   /// the expiry of the VM's lease, so the lease must not be extended.
   bool lease_bound_recorded = false;
--- /dev/null
+++ b/src/libs/jobs/vm_loss.h
@@ -0,0 +1,47 @@
+#ifndef BASILSPUR_JOBS_VM_LOSS_H_
+#define BASILSPUR_JOBS_VM_LOSS_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "jobs/task_ref.h"
+
+namespace basilspur::jobs {
+
+/// How a VM became unreachable.
+enum class VmOutage {
+  kDisconnected,  ///< It closed or refused a connection: its worker has ended.
+  kSilent,        ///< Nothing came back: no power, or no path to it.
+};
+
+/// By what the owner knows that no run of a VM's incarnation is left.
+enum class VmLossCause {
+  kRestarted,     ///< Another incarnation has answered.
+  kLeaseExpired,  ///< The last lease that the VM may hold has expired.
+};
+
+/// A run that ended with its VM, without a report.
+struct LostRun {
+  TaskRef task;
+  int run = 0;
+  /// Time from the confirmation of the start to the outage; 0: the start was
+  /// not confirmed. Empty for a run of an earlier owner.
+  std::optional<Millis> age;
+};
+
+/// The loss of an incarnation of a VM, with the runs that were on it.
+///
+/// Thread safety: a plain value.
+struct VmLoss {
+  std::string vm;
+  VmLossCause cause = VmLossCause::kRestarted;
+  /// Empty: the VM was reachable until it answered as another incarnation.
+  std::optional<VmOutage> outage;
+  std::vector<LostRun> runs;
+};
+
+}  // namespace basilspur::jobs
+
+#endif  // BASILSPUR_JOBS_VM_LOSS_H_
--- a/tests/auto/jobs/scheduler_test.cc
+++ b/tests/auto/jobs/scheduler_test.cc
@@ -118,7 +118,7 @@
   REQUIRE(fixture.PlanAndConfirm().size() == 1);
   fixture.AddVm("other");
   const Millis unreachable_at = fixture.now;
-  fixture.scheduler.OnVmUnreachable("vm", fixture.now);
+  fixture.scheduler.OnVmUnreachable("vm", VmOutage::kSilent, fixture.now);
   while (fixture.now - unreachable_at < fixture.settings.lease_duration) {
     // Further attempts to reach the VM must not extend the lease.
     CHECK(fixture.scheduler.NextDeadline("vm", fixture.now) == 0);
--- a/tests/auto/jobs/successor_test.cc
+++ b/tests/auto/jobs/successor_test.cc
@@ -202,7 +202,7 @@
   fixture.Report("new", {});
   const JournalBatch pending = fixture.scheduler.TakeBatch(fixture.wall_ms);
   fixture.scheduler.UnlistVm("new");
-  fixture.scheduler.OnVmUnreachable("new", fixture.now);
+  fixture.scheduler.OnVmUnreachable("new", VmOutage::kSilent, fixture.now);
   fixture.now = fixture.now + fixture.settings.lease_duration * 2;
   fixture.Plan();
   fixture.scheduler.UpsertVm(MakeListing("new"), fixture.now);
@@ -220,7 +220,7 @@
   fixture.scheduler.UpsertVm(MakeListing("vm"), fixture.now);
   fixture.Report("vm", {});
   fixture.scheduler.UnlistVm("vm");
-  fixture.scheduler.OnVmUnreachable("vm", fixture.now);
+  fixture.scheduler.OnVmUnreachable("vm", VmOutage::kSilent, fixture.now);
   fixture.now = fixture.now + fixture.settings.lease_duration * 2;
   fixture.Plan();
   fixture.Flush();
--- a/tests/auto/jobs/unreachable_vms_test.cc
+++ b/tests/auto/jobs/unreachable_vms_test.cc
@@ -24,7 +24,7 @@
   REQUIRE(fixture.PlanAndConfirm().size() == 1);
   fixture.Flush();
   fixture.AddVm("other");
-  fixture.scheduler.OnVmUnreachable("vm", fixture.now);
+  fixture.scheduler.OnVmUnreachable("vm", VmOutage::kSilent, fixture.now);
 }
 
 /// Returns the time until `owner`, which reaches only "other", starts the task.
--- a/tests/auto/jobs/waiting_task_test.cc
+++ b/tests/auto/jobs/waiting_task_test.cc
@@ -30,7 +30,7 @@
   VmListing draining = fixture.listings[0];
   draining.draining = true;
   fixture.scheduler.UpsertVm(draining, fixture.now);
-  fixture.scheduler.OnVmUnreachable("lost", fixture.now);
+  fixture.scheduler.OnVmUnreachable("lost", VmOutage::kSilent, fixture.now);
   VmListing small = fixture.listings[3];
   small.capacity.memory_mib = 500;
   fixture.scheduler.UpsertVm(small, fixture.now);
--- a/tests/auto/platform/executor_client_test.cc
+++ b/tests/auto/platform/executor_client_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 
 using namespace basilspur;  // NOLINT(google-build-using-namespace)
 namespace asio = basilspur::net::asio;
@@ -64,3 +65,50 @@
   REQUIRE(second);
   CHECK(second->outcome == jobs::RunCommandOutcome::kUnknown);
 }
+
+/// Accepts a connection and closes it after the request.
+static asio::awaitable<void> BreakConnection(Tcp::acceptor& acceptor) {
+  Tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+  co_await ReadRequest(socket);
+}
+
+/// Accepts a connection and keeps it open without an answer.
+static asio::awaitable<void> KeepSilent(Tcp::acceptor& acceptor) {
+  Tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+  co_await ReadRequest(socket);
+  asio::steady_timer timer(acceptor.get_executor(), std::chrono::seconds(2));
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+/// Returns the failure of a renewal at an executor that behaves like `peer`;
+/// null: no process listens there.
+static cell::RenewalFailure FailureOfRenewal(
+    asio::awaitable<void> (*peer)(Tcp::acceptor&)) {
+  asio::io_context context;
+  Tcp::acceptor acceptor(context,
+                         Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  jobs::VmListing vm;
+  vm.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  if (peer) {
+    asio::co_spawn(context, peer(acceptor), asio::detached);
+  } else {
+    acceptor.close();
+  }
+  std::optional<cell::RenewalAnswer> answer;
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        adapter::ExecutorClient client(context);
+        answer = co_await client.Renew(vm, {});
+      },
+      asio::detached);
+  context.run();
+  return std::get<cell::RenewalFailure>(answer.value());
+}
+
+TEST_CASE("a worker that has ended is told from one that is silent") {
+  CHECK(FailureOfRenewal(nullptr) == cell::RenewalFailure::kDisconnected);
+  CHECK(FailureOfRenewal(BreakConnection) ==
+        cell::RenewalFailure::kDisconnected);
+  CHECK(FailureOfRenewal(KeepSilent) == cell::RenewalFailure::kNoAnswer);
+}
