--- a/tests/sim/cell_faults.cc
+++ b/tests/sim/cell_faults.cc
@@ -94,7 +94,7 @@
       co_return co_await CutVms(node, true, Between(500, 10'000));
     case Kind::kVmCrash: {
       const std::string vm = PickVm();
-      if (!vm.empty()) Crash(vm);
+      if (!vm.empty()) cell_.ReplaceVm(vm);
       co_return;
     }
     case Kind::kVmAdded:
@@ -167,13 +167,6 @@
     (lossy ? faults.lossy_vms : faults.cut_vms).erase(vm);
 }
 
-void CellFaults::Crash(const std::string& vm) {
-  const std::string machine = vm.substr(0, vm.find('-'));
-  const std::string next = cell_.StartVm(machine);
-  cell_.ListVm(next, kListingDelay);
-  cell_.UnlistVm(vm, kListingDelay);
-}
-
 net::asio::awaitable<void> CellFaults::AddVm(bool mute) {
   if (added_vms_ >= kMaxVms) co_return;
   const std::string vm =
--- a/tests/sim/cell_faults.h
+++ b/tests/sim/cell_faults.h
@@ -53,7 +53,6 @@
   net::asio::awaitable<void> CutPeers(int node, Millis duration);
   net::asio::awaitable<void> AddVm(bool mute);
   net::asio::awaitable<void> UnlistForAWhile(std::string vm, bool again);
-  void Crash(const std::string& vm);
   /// The owner, more often than not; else any node.
   int PickNode();
   /// A VM that is up; empty if there are too few to harm one.
--- a/tests/sim/promise_checker.cc
+++ b/tests/sim/promise_checker.cc
@@ -2,12 +2,19 @@
 
 #include <algorithm>
 
+#include "sim/simulated_vm.h"
+
 namespace basilspur::sim {
 
 /// How long a task that lasts may be without a run in a calm period.
 static constexpr Millis kMaxGapOfLongRunning(9'000);
 /// How long a job may have nothing running while there is room for it.
 static constexpr Millis kMaxIdle(3'000);
+/// A task that has ended this many VMs may be given up.
+static constexpr int kCrashesToGiveUp = 2;
+/// One that has ended this many must not be started that many times more.
+static constexpr int kMaxCrashes = 3;
+static constexpr int kStartsTooMany = 3;
 
 void PromiseChecker::Report(const std::string& violation) {
   trace_.Add("VIOLATION " + violation);
@@ -35,6 +42,8 @@
 void PromiseChecker::OnShown(const std::string& job, cell::ReplyKind state) {
   if (state == cell::ReplyKind::kNoSuchJob && accepted_.contains(job))
     Report("LOST: accepted job " + job + " is shown as unknown");
+  if (state == cell::ReplyKind::kFailed && !MayBeGivenUp(job))
+    Report("LOST: job " + job + " is shown as failed without cause");
   if (state != cell::ReplyKind::kDone) return;
   for (std::size_t step = 0; step < specs_.at(job).steps.size(); ++step) {
     if (AllDone(job, static_cast<int>(step))) continue;
@@ -70,6 +79,11 @@
     Report("TWICE: " + text + " after its acknowledged end on vm=" + end.vm);
   }
   if (!fits) Report("LIMIT: " + text);
+  if (state.crashes >= kMaxCrashes &&
+      ++state.starts_after_crashes == kStartsTooMany) {
+    Report("BUDGET: " + text + " after " + std::to_string(state.crashes) +
+           " crashed VMs");
+  }
   CheckDependencies(task);
   state.runs[vm] = run;
   ++state.starts;
@@ -120,6 +134,19 @@
   }
 }
 
+void PromiseChecker::OnCrash(const std::string& vm, const jobs::TaskRef& task) {
+  trace_.Add("crash vm=" + vm + " by " + task.ToString());
+  ++tasks_[task].crashes;
+}
+
+bool PromiseChecker::MayBeGivenUp(const std::string& job) const {
+  for (auto it = tasks_.lower_bound({job, 0, 0, 0});
+       it != tasks_.end() && it->first.job == job; ++it) {
+    if (it->second.crashes >= kCrashesToGiveUp) return true;
+  }
+  return false;
+}
+
 void PromiseChecker::OnVmGone(const std::string& vm) {
   trace_.Add("gone vm=" + vm);
   for (auto& [task, state] : tasks_) {
@@ -188,6 +215,11 @@
     Report("LOST: accepted job " + job + " is unknown after the calm");
     return;
   }
+  if (state == cell::ReplyKind::kFailed && MayBeGivenUp(job)) return;
+  if (spec.payload == kCrashPayload) {
+    Report("BUDGET: job " + job + ", which crashes VMs, is not given up");
+    return;
+  }
   if (!spec.IsLongRunning()) {
     if (state == cell::ReplyKind::kDone) return;
     const bool active =
--- a/tests/sim/promise_checker.h
+++ b/tests/sim/promise_checker.h
@@ -40,6 +40,8 @@
   void OnAcknowledged(const std::string& vm, const jobs::EndedRunReport& end);
   /// The lease of the VM has expired. Ends that were not acknowledged are void.
   void OnLapse(const std::string& vm);
+  /// A run of the task has ended the worker of its VM, after OnVmGone.
+  void OnCrash(const std::string& vm, const jobs::TaskRef& task);
   /// The VM has terminated, and so have all its runs.
   void OnVmGone(const std::string& vm);
 
@@ -73,10 +75,13 @@
     Millis last_start;
     std::string last_start_text;
     int failures = 0;
+    int crashes = 0;               ///< VMs that runs of the task have ended.
+    int starts_after_crashes = 0;  ///< Since the task may be given up.
     Millis last_run_end;
   };
 
   void CheckCancelled(const std::string& job, cell::ReplyKind state);
+  bool MayBeGivenUp(const std::string& job) const;
   bool RanLately(const std::string& job) const;
   bool WaitsDespiteRoom(
       const std::string& job,
--- a/tests/sim/simulated_cell.cc
+++ b/tests/sim/simulated_cell.cc
@@ -12,6 +12,9 @@
 static constexpr Millis kCallerTimeout(3'000);
 static constexpr Millis kCallerRetryInterval(200);
 static constexpr std::size_t kMaxCandidates = 3;
+static constexpr Millis kListingDelay(2'000);
+/// From the crash of a worker to its next start.
+static constexpr Millis kTimeToRestart(3'200);
 
 SimulatedCell::SimulatedCell(std::uint64_t seed, int nodes, int cells)
     : cells_(cells),
@@ -190,10 +193,24 @@
   current = listing.id;
   vms_[current] = std::make_shared<SimulatedVm>(
       network_, time_, random_, trace_, checker_, listing, clock_percent);
+  vms_[current]->on_crash = [this, id = current] {
+    Spawn(ReplaceAfterCrash(id));
+  };
   vms_[current]->Run();
   return current;
 }
 
+net::asio::awaitable<void> SimulatedCell::ReplaceAfterCrash(std::string vm) {
+  co_await net::Sleep(kTimeToRestart);
+  if (!vms_.at(vm)->IsReplaced()) ReplaceVm(vm);
+}
+
+void SimulatedCell::ReplaceVm(const std::string& vm) {
+  const std::string next = StartVm(vm.substr(0, vm.find('-')));
+  ListVm(next, kListingDelay);
+  UnlistVm(vm, kListingDelay);
+}
+
 void SimulatedCell::TerminateVm(const std::string& vm) {
   if (vms_.at(vm)->IsUp()) vms_.at(vm)->Terminate();
 }
--- a/tests/sim/simulated_cell.h
+++ b/tests/sim/simulated_cell.h
@@ -56,6 +56,8 @@
   std::string StartVm(const std::string& machine, int clock_percent = 100,
                       int cell = 0);
   void TerminateVm(const std::string& vm);
+  /// A new incarnation replaces the VM, and the lists of VMs follow.
+  void ReplaceVm(const std::string& vm);
   /// Each node learns of it after a delay of its own, up to `max_delay`.
   void ListVm(const std::string& vm, Millis max_delay);
   void UnlistVm(const std::string& vm, Millis max_delay);
@@ -112,6 +114,7 @@
   net::asio::awaitable<void> AskStateOnce(std::string job);
   net::asio::awaitable<void> KillAfter(std::shared_ptr<SimulatedNode> node,
                                        int number, Millis grace);
+  net::asio::awaitable<void> ReplaceAfterCrash(std::string vm);
   void ChangeListing(const jobs::VmListing& listing, bool listed,
                      Millis max_delay);
   /// Whether a listed VM that is up has room for two such tasks.
--- a/tests/sim/simulated_vm.cc
+++ b/tests/sim/simulated_vm.cc
@@ -13,6 +13,8 @@
 static constexpr int kMaxStopMs = 900;
 static constexpr Millis kIdleWait(60'000);
 static constexpr std::int64_t kFirstClockMs = 10'000;
+/// From the start of a run that crashes its VM to the crash.
+static constexpr Millis kTimeToCrash(10);
 
 SimulatedVm::SimulatedVm(net::asio::io_context& network, const Clock& clock,
                          Random& random, Trace& trace, PromiseChecker& checker,
@@ -59,6 +61,11 @@
       next = std::min(next, end);
     }
   }
+  for (const auto& [task, run] : running_) {
+    if (!run.crashes || run.ends_at > now) continue;
+    Crash(task);
+    return now + kIdleWait;
+  }
   if (expired && !expired_) checker_.OnLapse(listing_.id);
   expired_ = expired;
   for (const auto& [task, end] : due) EndRun(task, end);
@@ -135,9 +142,11 @@
   if (present || command.run <= highest_ended_[command.task])
     return {RunCommandOutcome::kSuperseded, ClockMs()};
   const bool fits = (Used() + need).FitsIn(listing_.capacity);
-  const std::int64_t duration = std::stoll(command.payload);
   ActiveRun run;
   run.number = command.run;
+  run.crashes = command.payload == kCrashPayload;
+  const std::int64_t duration =
+      run.crashes ? kTimeToCrash.count : std::stoll(command.payload);
   run.endless = duration == 0;
   run.started_at = clock_.Monotonic();
   run.ends_at = run.started_at + Millis(duration);
@@ -183,6 +192,7 @@
   const Millis until = clock_.Monotonic() + renewal.max_wait;
   while (up_ && ended_.empty() && clock_.Monotonic() < until)
     co_await changed_.WaitFor(until - clock_.Monotonic());
+  if (crashed_) co_return cell::RenewalFailure::kDisconnected;
   if (!up_) co_return cell::RenewalFailure::kNoAnswer;
   EndDueRuns();
   jobs::VmReport report;
@@ -206,6 +216,14 @@
   return static_cast<int>(worked.count * 100 / total.count);
 }
 
+void SimulatedVm::Crash(const jobs::TaskRef& task) {
+  const jobs::TaskRef crashing_task = task;
+  crashed_ = true;
+  Terminate();
+  checker_.OnCrash(listing_.id, crashing_task);
+  if (on_crash) on_crash();
+}
+
 void SimulatedVm::Terminate() {
   up_ = false;
   running_.clear();
--- a/tests/sim/simulated_vm.h
+++ b/tests/sim/simulated_vm.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_SIM_SIMULATED_VM_H_
 #define TESTS_SIM_SIMULATED_VM_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -13,6 +14,9 @@
 
 namespace basilspur::sim {
 
+/// Payload of tasks that end the worker of each VM that starts them.
+inline constexpr char kCrashPayload[] = "crash";
+
 /// One incarnation of a VM, which executes runs by the platform's rules. A
 /// run's payload states its duration in ms; 0: until it is stopped.
 ///
@@ -34,6 +38,8 @@
   net::asio::awaitable<cell::RenewalAnswer> Renew(cell::Renewal renewal);
   /// All runs end without a report, and later calls are not answered.
   void Terminate();
+  /// Called when a run has ended the worker.
+  std::function<void()> on_crash;
   /// Another incarnation has taken over the address.
   void Replace() { replaced_ = true; }
 
@@ -42,6 +48,8 @@
     return (Used() + need).FitsIn(listing_.capacity);
   }
   bool IsUp() const { return up_; }
+  /// The worker has ended, and the machine refuses connections.
+  bool HasCrashed() const { return crashed_; }
   bool IsReplaced() const { return replaced_; }
   const jobs::VmListing& Listing() const { return listing_; }
   bool HasRuns() const { return !running_.empty(); }
@@ -53,6 +61,7 @@
     Millis ends_at;
     bool endless = false;
     bool stopping = false;
+    bool crashes = false;
     Millis stopped_at;  ///< Valid while stopping.
     records::Resources need;
   };
@@ -86,7 +95,10 @@
   std::map<jobs::TaskRef, ActiveRun> running_;
   std::map<jobs::TaskRef, int> highest_ended_;
   std::vector<jobs::EndedRunReport> ended_;
+  void Crash(const jobs::TaskRef& task);
+
   bool up_ = true;
+  bool crashed_ = false;
   bool replaced_ = false;
 };
 
--- a/tests/sim/simulated_vm_client.cc
+++ b/tests/sim/simulated_vm_client.cc
@@ -51,10 +51,13 @@
   const std::shared_ptr<SimulatedVm> vm = find_vm_(id);
   if (!vm) co_return std::nullopt;
   if (vm->IsReplaced()) co_return RenewalAnswer(RenewalFailure::kRestarted);
+  if (vm->HasCrashed()) co_return RenewalAnswer(RenewalFailure::kDisconnected);
   if (!vm->IsUp()) co_return std::nullopt;
   const RenewalAnswer answer = co_await vm->Renew(renewal);
   co_await net::Sleep(Latency());
-  if (lost || IsCut(id) || !vm->IsUp()) co_return std::nullopt;
+  if (lost || IsCut(id)) co_return std::nullopt;
+  if (vm->HasCrashed()) co_return RenewalAnswer(RenewalFailure::kDisconnected);
+  if (!vm->IsUp()) co_return std::nullopt;
   co_return answer;
 }
 
