jobs: A job that ends before a successor's first plan is kept

Cause: the time of a job's end is that of the last plan, and a successor had none before its first plan. A job whose last end was processed earlier got the end time 0, so its status was older than the retention at once, and callers were told that there is no such job (LOST).

Change: the time of the restoring counts until the first plan. Before: the new test failed, the job is unknown after two batches.

--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -58,6 +58,8 @@
 void Scheduler::Restore(const std::string& id, const JobRecord& record,
                         const std::optional<ProgressRecord>& progress,
                         std::int64_t wall_ms, Millis now) {
+  // Jobs may end before the first plan.
+  wall_ms_ = wall_ms;
   auto owned = std::make_unique<Job>();
   Job& job = *owned;
   job.id = id;
--- a/tests/auto/jobs/successor_test.cc
+++ b/tests/auto/jobs/successor_test.cc
@@ -269,3 +269,20 @@
   successor->OnDurable(successor->TakeBatch(fixture.wall_ms));
   CHECK(CountStarts(successor->Plan(fixture.wall_ms, fixture.now)) == 0);
 }
+
+TEST_CASE("a job whose last end arrives before the first plan is kept") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  const std::vector<RunCommand> commands = fixture.PlanAndConfirm();
+  REQUIRE(commands.size() == 1);
+  fixture.Flush();
+  const std::unique_ptr<Scheduler> next = fixture.TakeOver(10'001);
+  VmReport report;
+  report.clock_ms = fixture.now.count;
+  report.ended = {fixture.MakeEnd(1, commands[0].task, 1, RunEnd::kDone)};
+  next->OnReport("vm", report, fixture.now, fixture.now);
+  for (int batch = 0; batch < 2; ++batch)
+    next->OnDurable(next->TakeBatch(fixture.wall_ms));
+  CHECK(next->VisibleStateOf(kJob) == VisibleJobState::kDone);
+}
