jobs: A task that crashes the VMs that start it is given up after three

Cause: a run that is lost with its VM was released like one whose lease expired, and nothing counted that; only ends reported as failed count as attempts. Evidence: vm_runs_lost lines, in which the same task is the newest run of one VM after another, begun 8 to 20 ms before the VM refused connections. Ruled out: a count that is lost with the owner (none changed at first), and a crash that looks like a cut (the next incarnation answers before the lease expires).

Change: a task counts the VMs that its runs may have crashed (CrashPolicy). A suspect starts on a VM with few runs, which gets no other runs for 0.5 s; a report of its run after that clears it. At three its job fails, also where another cell hosts the task. Silent and draining VMs count for nobody.

--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -157,6 +157,11 @@
               " cause=" + (restarted ? "restarted" : "lease_expired") +
               " outage=" + (loss.outage ? NameOf(*loss.outage) : "none") +
               " runs=" + std::to_string(loss.runs.size()) + newest);
+    for (const jobs::CrashSuspect& suspect : loss.suspects) {
+      kLog.Info("event=task_suspected job=" + suspect.task.job +
+                " task=" + suspect.task.ToString() + " vm=" + loss.vm +
+                " crashes=" + std::to_string(suspect.crashes));
+    }
   }
 }
 
--- a/src/libs/jobs/delegation.h
+++ b/src/libs/jobs/delegation.h
@@ -23,11 +23,12 @@
   bool recalled = false;
   /// Counts the delegations of the task from 1, to any host.
   int number = 0;
+  int crashes = 0;  ///< See Task::crashes.
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.occurrence, self.step, self.index, self.run_base,
-            self.recalled, self.number);
+            self.recalled, self.number, self.crashes);
   }
 
   TaskRef RefIn(const std::string& job) const {
@@ -65,11 +66,12 @@
   int last_run = 0;
   /// The delegation that this is about.
   int number = 0;
+  int crashes = 0;  ///< See Task::crashes, as counted by the host.
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.occurrence, self.step, self.index, self.state, self.last_run,
-            self.number);
+            self.number, self.crashes);
   }
 
   TaskRef RefIn(const std::string& job) const {
--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -78,6 +78,7 @@
   record.index = ref.index;
   record.done = task.done;
   record.failures = task.failures;
+  record.crashes = task.crashes;
   record.last_run = task.last_run;
   if (!task.done) record.checkpoint = task.checkpoint;
   record.run_base = task.run_base;
@@ -87,6 +88,7 @@
   for (const Run& run : task.runs) {
     record.vms.push_back(run.vm);
     record.run_numbers.push_back(run.number);
+    if (run.may_have_crashed_vm) record.crashing_runs.push_back(run.number);
   }
   return record;
 }
@@ -103,6 +105,11 @@
   return false;
 }
 
+bool Job::HasTaskWithCrashes(int max_crashes) const {
+  return HasTask(occurrences,
+                 [&](const Task& task) { return task.crashes >= max_crashes; });
+}
+
 bool Job::HasRuns() const {
   return HasTask(occurrences, [](const Task& task) {
     return !task.runs.empty() || task.host_cell >= 0;
@@ -153,6 +160,7 @@
     if (!task) continue;
     task->done = saved.done;
     task->failures = saved.failures;
+    task->crashes = saved.crashes;
     task->last_run = saved.last_run;
     task->journaled_run = saved.last_run;
     task->checkpoint = saved.checkpoint;
@@ -171,6 +179,9 @@
           i < saved.run_numbers.size() ? saved.run_numbers[i] : saved.last_run;
       run.vm = saved.vms[i];
       run.phase = RunPhase::kInDoubt;
+      run.may_have_crashed_vm =
+          std::count(saved.crashing_runs.begin(), saved.crashing_runs.end(),
+                     run.number) > 0;
       task->runs.push_back(run);
     }
   }
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -40,6 +40,8 @@
   int percent = 0;
   bool had_unanswered_start = false;  ///< A start was not answered.
   bool stop_confirmed = false;
+  /// The VM has closed the connection, and the run may have crashed it.
+  bool may_have_crashed_vm = false;
   bool absent = false;  ///< No longer in the VM's reports, without an end.
 };
 
@@ -49,6 +51,9 @@
 struct Task {
   bool done = false;
   int failures = 0;
+  /// VMs that runs of the task may have crashed, since a run has last executed
+  /// for long enough to be cleared of that.
+  int crashes = 0;
   int last_run = 0;
   int journaled_run = 0;  ///< `last_run` in the restored journal.
   std::string checkpoint;
@@ -77,6 +82,8 @@
     return host_cell >= 0 || hosting == HostingState::kNotHosted ||
            hosting == HostingState::kReturned;
   }
+  /// Whether the task may crash the next VM that starts it.
+  bool IsSuspect() const { return crashes > 0; }
   /// Returns the run with this number on `vm`, or null.
   Run* FindRun(int number, std::string_view vm);
 };
@@ -142,6 +149,8 @@
   Task* FindOrAdd(const TaskRef& task);
   /// Adds an occurrence whose tasks all wait.
   Occurrence& AddOccurrence(int number);
+  /// Whether runs of a task may have crashed `max_crashes` VMs.
+  bool HasTaskWithCrashes(int max_crashes) const;
   /// Whether a run, or a delegated task, may be executing.
   bool HasRuns() const;
   bool HasDelegatedTasks() const;
--- a/src/libs/jobs/job_progress.h
+++ b/src/libs/jobs/job_progress.h
@@ -66,12 +66,17 @@
   int host_cell = -1;  ///< The cell that the task is delegated to; -1: none.
   HostingState hosting = HostingState::kOwnJob;
   int delegation = 0;  ///< See Task::delegation.
+  int crashes = 0;     ///< See Task::crashes.
+  /// Numbers of the runs that may have crashed their VMs, which have not
+  /// answered since.
+  std::vector<int> crashing_runs;
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.occurrence, self.step, self.index, self.done, self.failures,
             self.last_run, self.checkpoint, self.vms, self.run_numbers,
-            self.run_base, self.host_cell, self.hosting, self.delegation);
+            self.run_base, self.host_cell, self.hosting, self.delegation,
+            self.crashes, self.crashing_runs);
   }
 };
 
--- a/src/libs/jobs/placement_refusal.h
+++ b/src/libs/jobs/placement_refusal.h
@@ -17,6 +17,7 @@
   kDraining,        ///< It is about to be removed.
   kOtherService,    ///< It belongs to another service.
   kQuarantined,     ///< Runs failed on it one after another.
+  kIsolated,        ///< A run that may crash it has only begun there.
   kMissingLabel,    ///< It lacks the label that the step requires.
   kMemory,          ///< Too little free memory.
   kCapacity,        ///< Too few free processors or other resources.
@@ -26,14 +27,15 @@
   kPredictedTails,  ///< A tail latency would come too close to its target.
 };
 
-inline constexpr std::size_t kPlacementRefusalCount = 14;
+inline constexpr std::size_t kPlacementRefusalCount = 15;
 
 /// Names as used in logs, by the value of PlacementRefusal.
 inline constexpr std::array<std::string_view, kPlacementRefusalCount>
     kPlacementRefusalNames = {
-        "unlisted", "unreachable", "lease_bound", "not_in_journal", "draining",
-        "service",  "quarantined", "label",       "memory",         "capacity",
-        "reserved", "max_per_vm",  "unused_cpu",  "predicted_tails"};
+        "unlisted",   "unreachable", "lease_bound",    "not_in_journal",
+        "draining",   "service",     "quarantined",    "isolated",
+        "label",      "memory",      "capacity",       "reserved",
+        "max_per_vm", "unused_cpu",  "predicted_tails"};
 
 }  // namespace basilspur::jobs
 
--- a/src/libs/jobs/placer.cc
+++ b/src/libs/jobs/placer.cc
@@ -14,6 +14,15 @@
 static constexpr double kOtherRackCost = 200'000;
 /// An earlier run of the task failed on the VM.
 static constexpr double kFailedOnVmCost = 400'000;
+/// For each run beside one that may crash the VM.
+static constexpr double kRunBesideSuspectCost = 100'000;
+/// The VM that may be crashed has been known for a short time only. It may
+/// crash again by itself, which would be held against the task.
+static constexpr double kYoungVmForSuspectCost = 400'000;
+static constexpr Millis kYoungVmAge(10'000);
+/// Another run has only begun there, so that a crash may be due to either.
+static constexpr double kRecentStartForSuspectCost = 200'000;
+static constexpr Millis kRecentStart(500);
 /// The run takes processor time that best-effort runs on the VM use.
 static constexpr double kDisplacesBestEffortCost = 50'000;
 /// A run with a tail latency target would be the first such run on the VM.
@@ -57,6 +66,7 @@
   if (vm.listing.draining) return PlacementRefusal::kDraining;
   if (vm.listing.service != service) return PlacementRefusal::kOtherService;
   if (now < vm.quarantined_until) return PlacementRefusal::kQuarantined;
+  if (vm.IsIsolated(now)) return PlacementRefusal::kIsolated;
   const bool has_label =
       spec.required_label.empty() || vm.listing.HasLabel(spec.required_label);
   if (!has_label) return PlacementRefusal::kMissingLabel;
@@ -90,8 +100,18 @@
   return kOtherServingImageCost * static_cast<double>(others.size());
 }
 
-double Placer::Cost(const Vm& vm, const StepSpec& spec,
-                    const Task& task) const {
+/// Prefers VMs whose crash would end few runs, and be due to this one.
+static double CostForSuspect(const Vm& vm, Millis now) {
+  const double young =
+      now - vm.known_since < kYoungVmAge ? kYoungVmForSuspectCost : 0;
+  const double recent =
+      now - vm.last_start_at < kRecentStart ? kRecentStartForSuspectCost : 0;
+  return young + recent +
+         kRunBesideSuspectCost * static_cast<double>(vm.Runs().size());
+}
+
+double Placer::Cost(const Vm& vm, const StepSpec& spec, const Task& task,
+                    Millis now) const {
   double cost = 0;
   if (!spec.data_rack.empty() && vm.listing.rack != spec.data_rack) {
     cost += kOtherRackCost;
@@ -100,6 +120,7 @@
       task.failed_on.end()) {
     cost += kFailedOnVmCost;
   }
+  if (task.IsSuspect()) cost += CostForSuspect(vm, now);
   const std::int64_t unused = UnusedCpuMillis(vm) - spec.need.cpu_millis;
   if (spec.best_effort) {
     if (vm.ServingRunCount() == 0) cost += kVmWithoutServingRunsCost;
@@ -234,7 +255,7 @@
   double best_cost = 0;
   for (Vm* vm : vms) {
     if (RefusalOf(*vm, spec, service, ref, siblings, now)) continue;
-    double cost = Cost(*vm, spec, task);
+    double cost = Cost(*vm, spec, task, now);
     if (best.vm && cost >= best_cost) continue;
     int pace_percent = 100;
     if (spec.best_effort) {
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -79,7 +79,8 @@
   static std::optional<PlacementRefusal> RefusalOf(
       const Vm& vm, const StepSpec& spec, const std::string& service,
       const TaskRef& ref, const std::vector<Task>& siblings, Millis now);
-  double Cost(const Vm& vm, const StepSpec& spec, const Task& task) const;
+  double Cost(const Vm& vm, const StepSpec& spec, const Task& task,
+              Millis now) const;
 
   const TailController& tails_;
 };
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -6,7 +6,10 @@
 namespace basilspur::jobs {
 
 Scheduler::Scheduler(SchedulerSettings settings)
-    : settings_(settings), tails_(settings.tails), placer_(tails_) {}
+    : settings_(settings),
+      crash_policy_(settings.max_time_to_crash),
+      tails_(settings.tails),
+      placer_(tails_) {}
 
 Scheduler::~Scheduler() = default;
 
@@ -78,6 +81,9 @@
     stopping_jobs_.insert(id);
   }
   if (job.HasDelegatedTasks()) delegating_jobs_.insert(id);
+  const bool fails = !IsFinal(record.status) && !job.IsGuest() &&
+                     job.HasTaskWithCrashes(settings_.max_crashes);
+  if (fails) EndJob(job, JobStatus::kFailed, wall_ms);
   job.ForEachRun([&](const TaskRef& ref, Task&, const Run& run) {
     InheritVm(run.vm, /*address=*/"", now)
         .Add({ref, run.number}, MakeRunOnVm(job.record.spec.steps[ref.step]));
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "jobs/catalog.h"
+#include "jobs/crash_policy.h"
 #include "jobs/delegation.h"
 #include "jobs/job.h"
 #include "jobs/job_tier_policy.h"
@@ -240,7 +241,9 @@
 
   bool IsUnjournaledRun(const Vm& vm, const Job* job, const Task* task,
                         int run) const;
-  void ProcessRunningRun(Vm& vm, const RunningRunReport& row, Millis now);
+  /// Processes a row of the answer to a renewal that was sent at `sent`.
+  void ProcessRunningRun(Vm& vm, const RunningRunReport& row, Millis sent,
+                         Millis now);
   void ProcessEndedRun(Vm& vm, const EndedRunReport& row, bool lease_expired,
                        Millis now);
   /// Updates a run that is missing from the report to a renewal that was sent
@@ -254,6 +257,16 @@
   /// No run of the VM's incarnation is left, and none was reported as ended.
   void LoseRuns(Vm& vm, VmLossCause cause, Millis now);
   VmLoss MakeVmLoss(const Vm& vm, VmLossCause cause, Millis now);
+  /// The VM has closed its connection. Marks the runs that may have crashed it.
+  void MarkCrashingRuns(Vm& vm, Millis now);
+  /// The VM has answered, so no run has crashed it.
+  void UnmarkCrashingRuns(Vm& vm);
+  /// Counts the loss against the tasks that may have crashed the VM. Their jobs
+  /// fail if that is one loss too many.
+  void CountCrash(VmLoss& loss);
+  /// Whether a run that may crash its VM can be started without leaving too few
+  /// VMs to others.
+  bool MayIsolateVm(Millis now) const;
   void ProcessExpiredLeases(Millis now);
   void ApplyDone(Job& job, const TaskRef& ref);
   void ApplyFailure(Job& job, const TaskRef& ref, Vm& vm, Millis now);
@@ -266,6 +279,9 @@
   std::map<int, Delegation> DelegationsOf(Job& job) const;
   void OnDelegatedTaskReport(Job& job, Task& task,
                              const DelegatedTaskReport& report, Millis now);
+  /// Takes over how many VMs the host's runs of the task may have crashed.
+  void CountCrashesAtHost(Job& job, Task& task,
+                          const DelegatedTaskReport& report);
   Job& AddGuestJob(const Delegation& delegation, std::int64_t wall_ms);
   void ApplyDelegation(Job& job, Task& task, const DelegatedTask& wanted);
   void ReportHosting(const Job& job, const TaskRef& ref, const Task& task,
@@ -340,6 +356,7 @@
   MovedJobs moved_;
   UnplaceableTasks
       unplaceable_;  ///< Tasks without a place in the present plan.
+  CrashPolicy crash_policy_;
   TailController tails_;
   Placer placer_;
   std::map<std::string, std::unique_ptr<Job>> jobs_;
--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -69,6 +69,7 @@
     delegated.step = ref.step;
     delegated.index = ref.index;
     delegated.number = task.delegation;
+    delegated.crashes = task.crashes;
     delegated.run_base = std::max(task.last_run, task.run_base);
     delegated.recalled = task.recalled || IsFinal(job.record.status);
   });
@@ -127,9 +128,24 @@
   }
 }
 
+void Scheduler::CountCrashesAtHost(Job& job, Task& task,
+                                   const DelegatedTaskReport& report) {
+  const bool is_final = report.state == DelegationState::kReturned;
+  // Reports may arrive in another order than they were sent.
+  const int crashes =
+      is_final ? report.crashes : std::max(task.crashes, report.crashes);
+  if (crashes == task.crashes) return;
+  task.crashes = crashes;
+  MarkProgressDirty(job);
+  urgent_changes_ = true;
+  if (crashes >= settings_.max_crashes && !IsFinal(job.record.status))
+    EndJob(job, JobStatus::kFailed, wall_ms_);
+}
+
 void Scheduler::OnDelegatedTaskReport(Job& job, Task& task,
                                       const DelegatedTaskReport& report,
                                       Millis now) {
+  CountCrashesAtHost(job, task, report);
   switch (report.state) {
     case DelegationState::kRunning:
       task.waiting_at_host_since = Millis(0);
@@ -209,6 +225,7 @@
                            task.hosting == HostingState::kHosted;
     if (!is_recall) return;
   }
+  if (wanted.number > task.delegation) task.crashes = wanted.crashes;
   task.delegation = wanted.number;
   task.hosting = hosting;
   task.run_base = std::max(task.run_base, wanted.run_base);
@@ -220,6 +237,7 @@
                               const Task& task,
                               DelegatedTaskReport& row) const {
   row.number = task.delegation;
+  row.crashes = task.crashes;
   if (task.hosting == HostingState::kHosted) {
     row.state = task.runs.empty() ? DelegationState::kWaiting
                                   : DelegationState::kRunning;
--- a/src/libs/jobs/scheduler_losses.cc
+++ b/src/libs/jobs/scheduler_losses.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "jobs/scheduler.h"
@@ -9,8 +10,37 @@
   Vm* vm = FindVm(id);
   if (!vm) return;
   if (vm->reachable) vm->unreachable_since = now;
-  if (!vm->outage) vm->outage = outage;
   vm->reachable = false;
+  if (vm->outage) return;
+  vm->outage = outage;
+  if (outage == VmOutage::kDisconnected) MarkCrashingRuns(*vm, now);
+}
+
+void Scheduler::MarkCrashingRuns(Vm& vm, Millis now) {
+  // The journal has to name them before the VM is known to be lost: the owner
+  // may end before that.
+  const VmLoss loss = MakeVmLoss(vm, VmLossCause::kLeaseExpired, now);
+  for (const CrashSuspect& suspect : crash_policy_.SelectSuspects(loss)) {
+    Job* job = FindJob(suspect.task.job);
+    Task* task = job ? job->Find(suspect.task) : nullptr;
+    if (!task) continue;
+    for (Run& run : task->runs) {
+      if (run.vm == vm.listing.id) run.may_have_crashed_vm = true;
+    }
+    MarkProgressDirty(*job);
+    urgent_changes_ = true;
+  }
+}
+
+void Scheduler::UnmarkCrashingRuns(Vm& vm) {
+  for (const auto& [key, charged_run] : vm.Runs()) {
+    Job* job = FindJob(key.first.job);
+    Task* task = job ? job->Find(key.first) : nullptr;
+    Run* run = task ? task->FindRun(key.second, vm.listing.id) : nullptr;
+    if (!run || !run->may_have_crashed_vm) continue;
+    run->may_have_crashed_vm = false;
+    MarkProgressDirty(*job);
+  }
 }
 
 void Scheduler::OnVmRestarted(const std::string& id, Millis now) {
@@ -47,6 +77,7 @@
   loss.vm = vm.listing.id;
   loss.cause = cause;
   loss.outage = vm.outage;
+  loss.was_draining = vm.listing.draining;
   for (const auto& [key, charged_run] : vm.Runs()) {
     Job* job = FindJob(key.first.job);
     Task* task = job ? job->Find(key.first) : nullptr;
@@ -54,7 +85,10 @@
     LostRun& lost = loss.runs.emplace_back();
     lost.task = key.first;
     lost.run = key.second;
-    if (!run || run->created_at == Millis(0)) continue;
+    lost.crashes = task ? task->crashes : 0;
+    lost.may_have_crashed_vm = run && run->may_have_crashed_vm;
+    const bool is_inherited = !run || run->starts_sent == 0;
+    if (is_inherited) continue;
     const bool confirmed =
         run->running_since > Millis(0) && run->running_since < lost_at;
     lost.age = confirmed ? lost_at - run->running_since : Millis(0);
@@ -65,9 +99,36 @@
 void Scheduler::LoseRuns(Vm& vm, VmLossCause cause, Millis now) {
   VmLoss loss = MakeVmLoss(vm, cause, now);
   ReleaseAllRuns(vm);
+  CountCrash(loss);
   if (!loss.runs.empty()) vm_losses_.push_back(std::move(loss));
 }
 
+void Scheduler::CountCrash(VmLoss& loss) {
+  for (const CrashSuspect& suspect : crash_policy_.SelectSuspects(loss)) {
+    Job* job = FindJob(suspect.task.job);
+    Task* task = job ? job->Find(suspect.task) : nullptr;
+    if (!task || task->done || IsFinal(job->record.status)) continue;
+    task->crashes = suspect.crashes;
+    loss.suspects.push_back(suspect);
+    MarkProgressDirty(*job);
+    urgent_changes_ = true;
+    // An owner that has no access to the journal may start the task in vain.
+    if (task->crashes > 1) task->placement_batch = taken_batches_ + 1;
+    // The owner of a guest job's home cell decides, by the host's report.
+    if (task->crashes >= settings_.max_crashes && !job->IsGuest())
+      EndJob(*job, JobStatus::kFailed, wall_ms_);
+  }
+}
+
+bool Scheduler::MayIsolateVm(Millis now) const {
+  const auto isolated = std::count_if(
+      vms_.begin(), vms_.end(),
+      [&](const auto& item) { return item.second->IsIsolated(now); });
+  const auto max_isolated = static_cast<std::int64_t>(vms_.size()) *
+                            settings_.max_isolated_vms_percent / 100;
+  return isolated < std::max(max_isolated, std::int64_t{1});
+}
+
 std::vector<VmLoss> Scheduler::TakeVmLosses() {
   return std::exchange(vm_losses_, {});
 }
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -122,7 +122,8 @@
 
 bool Scheduler::NeedsRun(const Task& task, Millis now) const {
   return !task.done && task.runs.empty() && now >= task.not_before &&
-         !task.IsElsewhere() && task.placement_batch <= durable_batches_;
+         !task.IsElsewhere() && task.placement_batch <= durable_batches_ &&
+         task.crashes < settings_.max_crashes;
 }
 
 int Scheduler::NextRunNumber(const Job& job, const Task& task) const {
@@ -158,6 +159,7 @@
   const std::vector<Task>& tasks =
       job.FindOccurrence(ref.occurrence)->steps[ref.step].tasks;
   const Task& task = tasks[ref.index];
+  if (task.IsSuspect() && !MayIsolateVm(now)) return true;
   const Placement place =
       placer_.SelectPlacement(vms, spec, service, ref, task, tasks, now);
   if (!place.vm) {
@@ -239,6 +241,10 @@
   // deferred.
   if (place.relief) run_on_vm.pace_changed_at = now;
   vm.Add({ref, number}, run_on_vm);
+  vm.last_start_at = now;
+  // The members of a gang may have no place but beside each other.
+  if (task.IsSuspect() && !spec.gang)
+    vm.isolation = {{ref, number}, now + settings_.max_time_to_crash};
   commands.push_back(MakeStart(job, ref, run));
   commands.back().checkpoint = task.checkpoint;
   if (!place.relief) job.started_by_relief_only = false;
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -49,14 +49,16 @@
     dirty_vms_[id] = row.number;
   }
   for (const RunningRunReport& row : report.running)
-    ProcessRunningRun(*vm, row, now);
+    ProcessRunningRun(*vm, row, sent, now);
   // A run in neither list may have ended nevertheless if an end is not listed.
   if (!report.may_have_more_ends) {
     ReleaseAbsentRuns(*vm, report, sent);
     vm->reconciled = true;
   }
   tails_.Observe(*vm, now);
+  if (!vm->reachable) UnmarkCrashingRuns(*vm);
   vm->reachable = true;
+  if (vm->known_since == Millis(0)) vm->known_since = now;
   vm->outage.reset();
   vm->lease_expired = false;
   if (vm->in_journal) return;
@@ -73,7 +75,7 @@
 }
 
 void Scheduler::ProcessRunningRun(Vm& vm, const RunningRunReport& row,
-                                  Millis now) {
+                                  Millis sent, Millis now) {
   Job* job = FindJob(row.task.job);
   Task* task = job ? job->FindOrAdd(row.task) : nullptr;
   Run* run = task ? task->FindRun(row.run, vm.listing.id) : nullptr;
@@ -106,6 +108,10 @@
     run->progressed_at = now;
   }
   if (run->running_since == Millis(0)) run->running_since = now;
+  if (task->IsSuspect() && crash_policy_.IsCleared(sent - run->running_since)) {
+    task->crashes = 0;
+    MarkProgressDirty(*job);
+  }
   run->absent = false;
   if (row.percent > run->percent) {
     run->percent = row.percent;
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -43,6 +43,13 @@
   Millis quarantine_duration{4'000};
   /// Number of consecutive failures after which a VM is quarantined.
   int quarantine_failures = 3;
+  /// A run that crashes its VM does so within this time of its start, in which
+  /// the VM gets no other runs if the task is suspected.
+  Millis max_time_to_crash{500};
+  /// Number of VMs that a task may have crashed after which its job fails.
+  int max_crashes = 3;
+  /// Maximum percentage of the VMs that are isolated at a time.
+  int max_isolated_vms_percent = 50;
   /// Maximum number of VMs with capacity reserved for long-running tasks.
   int max_reservations = 4;
   /// Time after which a reservation expires unless it is renewed.
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -84,6 +84,7 @@
 void Vm::Remove(const RunKey& key) {
   const auto found = runs_.find(key);
   if (found == runs_.end()) return;
+  if (isolation && isolation->run == key) isolation.reset();
   tail_predictions.clear();
   used_ = used_ - found->second.charge;
   best_effort_cpu_millis_ -= found->second.best_effort_cpu_millis;
@@ -97,6 +98,7 @@
 
 void Vm::Clear() {
   runs_.clear();
+  isolation.reset();
   tail_predictions.clear();
   used_ = {};
   best_effort_cpu_millis_ = 0;
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -59,6 +59,12 @@
 /// A task and the number of its run.
 using RunKey = std::pair<TaskRef, int>;
 
+/// A run that may crash its VM, so that the VM gets no other runs for a while.
+struct Isolation {
+  RunKey run;
+  Millis until;
+};
+
 /// Predicted tail latency of an image as a share of its target. It is linear in
 /// the processor time of an additional best-effort run.
 struct TailPrediction {
@@ -111,6 +117,9 @@
   /// Processor time charged for the runs with a tail latency target.
   std::int64_t ServingCpuMillis() const { return serving_cpu_millis_; }
   const std::map<RunKey, RunOnVm>& Runs() const { return runs_; }
+  bool IsIsolated(Millis now) const {
+    return isolation && now < isolation->until;
+  }
   /// Returns the reservation for a task other than `task`, or null.
   const Reservation* ReservationOfOther(const TaskRef& task, Millis now) const;
   /// Returns the capacity that is free once only long-running tasks are left.
@@ -123,6 +132,8 @@
   VmListing listing;
   bool listed = true;        ///< The VM is in the platform's directory.
   bool reachable = false;    ///< The VM answered the last renewal.
+  Millis last_start_at;      ///< When a run was last started.
+  Millis known_since;        ///< First report to this owner; 0: none yet.
   Millis unreachable_since;  ///< Valid only while the VM is unreachable.
   /// How the present outage began; empty: no call has failed since the last
   /// answer.
@@ -149,6 +160,7 @@
   int consecutive_failures = 0;
   Millis quarantined_until;
   std::optional<Reservation> reservation;
+  std::optional<Isolation> isolation;  ///< Ends with its run.
   Millis pace_changed_at;    ///< Time of the last pace change of any run.
   Millis tails_observed_at;  ///< Time of the last tail latency observation.
   /// Cached predictions by best-effort image. Cleared whenever the runs or
--- a/src/libs/jobs/vm_loss.h
+++ b/src/libs/jobs/vm_loss.h
@@ -29,6 +29,16 @@
   /// Time from the confirmation of the start to the outage; 0: the start was
   /// not confirmed. Empty for a run of an earlier owner.
   std::optional<Millis> age;
+  int crashes = 0;  ///< VMs that runs of the task may have crashed before.
+  /// When the VM closed its connection, the run was found to be one that may
+  /// have crashed it.
+  bool may_have_crashed_vm = false;
+};
+
+/// A task whose run may have crashed a VM.
+struct CrashSuspect {
+  TaskRef task;
+  int crashes = 0;  ///< VMs that runs of the task may have crashed.
 };
 
 /// The loss of an incarnation of a VM, with the runs that were on it.
@@ -39,7 +49,9 @@
   VmLossCause cause = VmLossCause::kRestarted;
   /// Empty: the VM was reachable until it answered as another incarnation.
   std::optional<VmOutage> outage;
+  bool was_draining = false;
   std::vector<LostRun> runs;
+  std::vector<CrashSuspect> suspects;
 };
 
 }  // namespace basilspur::jobs
--- a/tests/auto/jobs/delegations_test.cc
+++ b/tests/auto/jobs/delegations_test.cc
@@ -226,3 +226,34 @@
   CHECK(next->Host(delegation, host.wall_ms).tasks[0].state ==
         DelegationState::kRunning);
 }
+
+TEST_CASE(
+    "a delegated task that crashes the host's VMs fails its job at home") {
+  HomeFixture home;
+  const Delegation delegation = DelegateThird(home);
+  SchedulerFixture host;
+  host.AddVm("h0");
+  int starts = 0;
+  DelegationReport report;
+  for (int round = 1; round <= 10; ++round) {
+    report = host.scheduler.Host(delegation, host.wall_ms);
+    host.Flush();
+    for (const RunCommand& command : host.PlanAndConfirm()) {
+      if (command.kind != RunCommandKind::kStart) continue;
+      ++starts;
+      host.scheduler.OnVmUnreachable(command.vm, VmOutage::kDisconnected,
+                                     host.now);
+      host.now = host.now + Millis(3'200);
+      host.scheduler.OnVmRestarted(command.vm, host.now);
+    }
+    host.AddVm("h" + std::to_string(round));
+  }
+  CHECK(starts == 3);
+  home.scheduler.OnDelegationReport(kJob, kHost, report, home.now);
+  home.Flush();
+  CHECK(home.scheduler.VisibleStateOf(kJob) == VisibleJobState::kFailed);
+  // The host gives the task back.
+  const auto sent = home.scheduler.DelegationsToSend(home.now + Millis(2'000));
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].second.tasks[0].recalled);
+}
--- a/tests/sim/cell_faults.cc
+++ b/tests/sim/cell_faults.cc
@@ -125,6 +125,7 @@
   cell_.SetFrozen(node, true);
   co_await net::Sleep(duration);
   cell_.SetFrozen(node, false);
+  cell_.StartContactTime(node);
 }
 
 net::asio::awaitable<void> CellFaults::LimitStore(std::vector<int> nodes,
@@ -140,6 +141,7 @@
     cell_.Events().Add("store access of node" + std::to_string(node) +
                        " normal");
     cell_.Faults(node).store = StoreAccess::kNormal;
+    cell_.StartContactTime(node);
   }
 }
 
@@ -148,6 +150,7 @@
   cell_.Faults(node).peers_cut = true;
   co_await net::Sleep(duration);
   cell_.Faults(node).peers_cut = false;
+  cell_.StartContactTime(node);
 }
 
 net::asio::awaitable<void> CellFaults::CutVms(int node, bool lossy,
@@ -165,6 +168,7 @@
   cell_.Events().Add("node" + std::to_string(node) + " reaches its VMs");
   for (const std::string& vm : harmed)
     (lossy ? faults.lossy_vms : faults.cut_vms).erase(vm);
+  cell_.StartContactTime(node);
 }
 
 net::asio::awaitable<void> CellFaults::AddVm(bool mute) {
--- a/tests/sim/link_faults.h
+++ b/tests/sim/link_faults.h
@@ -27,8 +27,20 @@
   Millis directory_delay;
   std::set<std::string> cut_vms;    ///< Ids of VMs without a path.
   std::set<std::string> lossy_vms;  ///< Ids of VMs whose answers may be lost.
+  /// When the last fault of the node will have been over for long enough.
+  Millis in_touch_from;
+
+  /// Whether the rules that hold for nodes without faults hold for this one.
+  bool IsInTouch(Millis now) const {
+    const bool reaches_all = store == StoreAccess::kNormal && !peers_cut &&
+                             cut_vms.empty() && lossy_vms.empty();
+    return reaches_all && now >= in_touch_from;
+  }
 };
 
+/// How long a node has to be without faults.
+inline constexpr Millis kContactTime(3'000);
+
 }  // namespace basilspur::sim
 
 #endif  // TESTS_SIM_LINK_FAULTS_H_
--- a/tests/sim/simulated_cell.cc
+++ b/tests/sim/simulated_cell.cc
@@ -115,6 +115,7 @@
   nodes_[node] = std::make_shared<SimulatedNode>(
       std::move(environment),
       cell::CellMember::Identity{name, incarnation, name}, random_.Next());
+  StartContactTime(node);
   nodes_[node]->Start();
   trace_.Add("started " + incarnation);
 }
--- a/tests/sim/simulated_cell.h
+++ b/tests/sim/simulated_cell.h
@@ -49,6 +49,10 @@
   bool IsOwnerReady() const;
   int CellCount() const { return cells_; }
   LinkFaults& Faults(int node) { return faults_[node]; }
+  /// A fault of the node is over, or the node has started.
+  void StartContactTime(int node) {
+    faults_[node].in_touch_from = time_.Monotonic() + kContactTime;
+  }
   int NodeCount() const { return static_cast<int>(nodes_.size()); }
 
   /// Starts a VM on `machine` with a new id, and returns the id. Terminates the
