jobs: An unanswered start is not repeated on a VM that has shrunk

What callers would see: LIMIT. A VM's capacity may shrink while it runs; an owner that knows so sent an unanswered start again, and the run, which may not have begun before, exceeded the smaller capacity.

Change: while a VM's runs are charged more than it has, its unanswered starts are stopped instead of repeated. What follows the capacity otherwise was looked through and holds: placement, relief runs, reservations, evacuations and loads read the listing each time; what is being stopped counts until its end is known.

The new test failed before (2 starts, none allowed).

--- a/src/libs/jobs/scheduler_stops.cc
+++ b/src/libs/jobs/scheduler_stops.cc
@@ -31,7 +31,10 @@
     const bool inherited = run.last_command_at == Millis(0);
     if (run.phase != RunPhase::kInDoubt || inherited) return;
     if (now - run.last_command_at < settings_.start_retry_interval) return;
-    if (run.starts_sent >= settings_.max_start_attempts) {
+    // The run may not execute yet, and the VM may have shrunk since.
+    const Vm* vm = FindVm(run.vm);
+    const bool has_room = !vm || !vm->IsOverCommitted();
+    if (!has_room || run.starts_sent >= settings_.max_start_attempts) {
       IssueStop(ref, run, now, commands);
       return;
     }
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -111,6 +111,8 @@
   /// Capacity that is not charged to any run; none while a run whose needs are
   /// unknown may be executing.
   records::Resources Free() const;
+  /// Whether the runs are charged more than the VM has: it has shrunk.
+  bool IsOverCommitted() const { return !used_.FitsIn(listing.capacity); }
   std::int64_t BestEffortCpuMillis() const { return best_effort_cpu_millis_; }
   /// Number of runs with a tail latency target.
   int ServingRunCount() const { return serving_run_count_; }
--- a/tests/sim/cell_faults.cc
+++ b/tests/sim/cell_faults.cc
@@ -8,6 +8,8 @@
 static constexpr double kOwnerIsPicked = 0.7;
 static constexpr std::size_t kMinVms = 4;
 static constexpr int kMaxVms = 10;
+static constexpr records::Resources kFullCapacity{8'000, 64'000, 0};
+static constexpr records::Resources kSmallCapacity{2'500, 64'000, 0};
 
 CellFaults::CellFaults(SimulatedCell& cell) : cell_(cell) {
   for (int kind = 0; kind < kKinds; ++kind) {
@@ -110,6 +112,8 @@
       cell_.UnlistVm(vm, kListingDelay);
       co_return;
     }
+    case Kind::kVmResized:
+      co_return co_await ResizeForAWhile(PickVm());
     case Kind::kHistoryExpired:
       cell_.Store().ExpireHistory();
       co_return;
@@ -184,6 +188,13 @@
   cell_.ListVm(vm, kListingDelay);
 }
 
+net::asio::awaitable<void> CellFaults::ResizeForAWhile(std::string vm) {
+  if (vm.empty()) co_return;
+  cell_.ResizeVm(vm, kSmallCapacity);
+  co_await net::Sleep(Between(500, 12'000));
+  if (cell_.IsListed(vm)) cell_.ResizeVm(vm, kFullCapacity);
+}
+
 net::asio::awaitable<void> CellFaults::UnlistForAWhile(std::string vm,
                                                        bool again) {
   if (vm.empty()) co_return;
--- a/tests/sim/cell_faults.h
+++ b/tests/sim/cell_faults.h
@@ -17,6 +17,9 @@
   /// Precondition: `cell` outlives the object, and the object the cell's runs.
   explicit CellFaults(SimulatedCell& cell);
 
+  /// Lets VMs shrink and grow again, too.
+  void AddResizing() { kinds_.push_back(Kind::kVmResized); }
+
   /// Starts faults until `duration` has passed.
   void Start(Millis duration);
   /// Ends all faults: all nodes run and reach everything.
@@ -40,6 +43,7 @@
     kVmReclaimed,
     kMuteVmAdded,
     kHistoryExpired,
+    kVmResized,  ///< Occurs on request only.
   };
   static constexpr int kKinds = static_cast<int>(Kind::kHistoryExpired) + 1;
 
@@ -52,6 +56,7 @@
   net::asio::awaitable<void> Freeze(int node, Millis duration);
   net::asio::awaitable<void> CutPeers(int node, Millis duration);
   net::asio::awaitable<void> AddVm(bool mute);
+  net::asio::awaitable<void> ResizeForAWhile(std::string vm);
   net::asio::awaitable<void> UnlistForAWhile(std::string vm, bool again);
   /// The owner, more often than not; else any node.
   int PickNode();
--- a/tests/sim/cell_simulation_test.cc
+++ b/tests/sim/cell_simulation_test.cc
@@ -29,6 +29,7 @@
   double long_running_share = 0.1;
   bool moves_accepted_jobs = false;
   double crashing_share = 0;  ///< Share of the jobs whose tasks crash VMs.
+  bool vms_resize = false;
 };
 
 static jobs::JobSpec MakeRandomJob(Random& random, const Setup& setup,
@@ -88,6 +89,7 @@
 static bool KeepsPromises(std::uint64_t seed, const Setup& setup) {
   SimulatedCell cell(seed, kNodes, setup.cells);
   CellFaults faults(cell);
+  if (setup.vms_resize) faults.AddResizing();
   cell.moves_accepted_jobs = setup.moves_accepted_jobs;
   StartVms(cell);
   cell.RunUntil([&] { return cell.IsOwnerReady(); }, kFirstOwnerTimeout);
@@ -141,6 +143,12 @@
   CheckSeeds(setup);
 }
 
+TEST_CASE("a cell keeps the users' promises while VMs shrink and grow") {
+  Setup setup;
+  setup.vms_resize = true;
+  CheckSeeds(setup);
+}
+
 TEST_CASE("no job waits in a full cell while another cell has room",
           "[.][known-red]") {
   Setup setup;
--- a/tests/sim/simulated_cell.cc
+++ b/tests/sim/simulated_cell.cc
@@ -216,6 +216,12 @@
   if (vms_.at(vm)->IsUp()) vms_.at(vm)->Terminate();
 }
 
+void SimulatedCell::ResizeVm(const std::string& vm,
+                             const records::Resources& capacity) {
+  vms_.at(vm)->Resize(capacity);
+  if (IsListed(vm)) ListVm(vm, kListingDelay);
+}
+
 std::vector<std::string> SimulatedCell::Vms() const {
   std::vector<std::string> up;
   for (const auto& [id, vm] : vms_) {
--- a/tests/sim/simulated_cell.h
+++ b/tests/sim/simulated_cell.h
@@ -65,6 +65,8 @@
   /// Each node learns of it after a delay of its own, up to `max_delay`.
   void ListVm(const std::string& vm, Millis max_delay);
   void UnlistVm(const std::string& vm, Millis max_delay);
+  /// The VM gets this capacity, and the lists of VMs say so.
+  void ResizeVm(const std::string& vm, const records::Resources& capacity);
   /// Ids of the VMs that are up.
   std::vector<std::string> Vms() const;
   bool IsListed(const std::string& vm) const { return listed_.contains(vm); }
--- a/tests/sim/simulated_vm.cc
+++ b/tests/sim/simulated_vm.cc
@@ -15,6 +15,8 @@
 static constexpr std::int64_t kFirstClockMs = 10'000;
 /// From the start of a run that crashes its VM to the crash.
 static constexpr Millis kTimeToCrash(10);
+/// How long after a VM has shrunk starts may still exceed its capacity.
+static constexpr Millis kResizeGrace(4'500);
 
 SimulatedVm::SimulatedVm(net::asio::io_context& network, const Clock& clock,
                          Random& random, Trace& trace, PromiseChecker& checker,
@@ -144,7 +146,7 @@
     return {RunCommandOutcome::kDone, ClockMs()};
   if (present || command.run <= highest_ended_[command.task])
     return {RunCommandOutcome::kSuperseded, ClockMs()};
-  const bool fits = (Used() + need).FitsIn(listing_.capacity);
+  const bool fits = (Used() + need).FitsIn(RequiredCapacity());
   ActiveRun run;
   run.number = command.run;
   run.crashes = command.payload == kCrashPayload;
@@ -220,6 +222,21 @@
   return static_cast<int>(worked.count * 100 / total.count);
 }
 
+void SimulatedVm::Resize(const records::Resources& capacity) {
+  trace_.Add("resized vm=" + listing_.id +
+             " cpu_millis=" + std::to_string(capacity.cpu_millis));
+  capacity_before_ = RequiredCapacity();
+  listing_.capacity = capacity;
+  resized_at_ = clock_.Monotonic();
+}
+
+const records::Resources& SimulatedVm::RequiredCapacity() const {
+  const bool shrinks = resized_at_ > Millis(0) &&
+                       clock_.Monotonic() - resized_at_ < kResizeGrace &&
+                       listing_.capacity.FitsIn(capacity_before_);
+  return shrinks ? capacity_before_ : listing_.capacity;
+}
+
 void SimulatedVm::Crash(const jobs::TaskRef& task) {
   const jobs::TaskRef crashing_task = task;
   crashed_ = true;
--- a/tests/sim/simulated_vm.h
+++ b/tests/sim/simulated_vm.h
@@ -40,6 +40,9 @@
   void Terminate();
   /// Called when a run has ended the worker.
   std::function<void()> on_crash;
+  /// The VM gets this capacity. A smaller one is held against starts only once
+  /// owners have had the time to learn of it.
+  void Resize(const records::Resources& capacity);
   /// Another incarnation has taken over the address.
   void Replace() { replaced_ = true; }
 
@@ -75,6 +78,8 @@
                             std::int64_t deadline_ms, bool sender_in_touch);
   int PercentOf(const ActiveRun& run) const;
   cell::CommandAnswer Stop(const jobs::RunCommand& command);
+  /// The capacity that a start has to keep to now.
+  const records::Resources& RequiredCapacity() const;
   bool IsStale(std::int64_t token);
   void Extend(std::int64_t deadline_ms);
   std::int64_t ClockMs() const;
@@ -85,6 +90,8 @@
   Trace& trace_;
   PromiseChecker& checker_;
   jobs::VmListing listing_;
+  records::Resources capacity_before_;
+  Millis resized_at_;  ///< 0: never.
   int clock_percent_;
   Millis booted_;
   Wakeup changed_;  ///< A run was started, stopped or ended.
