Read when a VM's worker started, and log when it is another one

An owner could not tell, and its log did not say, that a worker had started again under the id that it had. Nothing is decided by it yet.

--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -181,6 +181,9 @@
   net::asio::awaitable<void> SendDelegation(std::shared_ptr<CellOwner> self,
                                             DelegationRequest request);
   net::asio::awaitable<JobReply> Cancel(const JobRequest& request);
+  /// Logs the report if the VM's worker is not the one known so far.
+  void LogWorkerStart(const std::string& vm,
+                      const jobs::VmReport& report) const;
   void LogRunEnds(const std::string& vm, const jobs::VmReport& report) const;
   void LogJobEnds(const jobs::JournalBatch& batch) const;
   JobReply StatusOf(const std::string& job) const;
--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "base/logging.h"
@@ -81,6 +82,24 @@
   return settings_.busy_renewal_wait;
 }
 
+void CellOwner::LogWorkerStart(const std::string& vm,
+                               const jobs::VmReport& report) const {
+  const std::int64_t known_start = scheduler_.WorkerStartOf(vm);
+  if (report.worker_start_ms == known_start) return;
+  const std::int64_t known_end = scheduler_.NewestProcessedEnd(vm);
+  const auto skipped =
+      std::count_if(report.ended.begin(), report.ended.end(),
+                    [&](const auto& row) { return row.number <= known_end; });
+  kLog.Info("event=worker_started vm=" + vm +
+            " worker_start_ms=" + std::to_string(report.worker_start_ms) +
+            " known_start_ms=" + std::to_string(known_start) +
+            " clock_ms=" + std::to_string(report.clock_ms) +
+            " known_end=" + std::to_string(known_end) +
+            " ends=" + std::to_string(report.ended.size()) +
+            " ends_up_to_known=" + std::to_string(skipped) +
+            " runs=" + std::to_string(report.running.size()));
+}
+
 net::asio::awaitable<bool> CellOwner::RenewOnce(const jobs::VmListing& vm) {
   if (!CheckMayAct()) co_return false;
   const Millis sent = Now();
@@ -93,6 +112,7 @@
   const RenewalAnswer answer = co_await vm_client_.Renew(vm, renewal);
   if (stopped_) co_return false;
   if (const auto* report = std::get_if<jobs::VmReport>(&answer)) {
+    LogWorkerStart(vm.id, *report);
     LogRunEnds(vm.id, *report);
     scheduler_.OnReport(vm.id, *report, sent, Now());
     SchedulePlan();
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -150,6 +150,8 @@
   std::int64_t NewestDurableEnd(const std::string& vm) const;
   /// Number of the VM's newest run end that was processed.
   std::int64_t NewestProcessedEnd(const std::string& vm) const;
+  /// When the worker that the VM last reported started, in Unix ms; 0: none.
+  std::int64_t WorkerStartOf(const std::string& vm) const;
   /// True if run ends were processed that are not durable yet, and so must not
   /// be acknowledged.
   bool HasNonDurableEnds(const std::string& vm) const;
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -25,6 +25,11 @@
   return found == vms_.end() ? 0 : found->second->last_end;
 }
 
+std::int64_t Scheduler::WorkerStartOf(const std::string& vm) const {
+  const auto found = vms_.find(vm);
+  return found == vms_.end() ? 0 : found->second->worker_start_ms;
+}
+
 bool Scheduler::HasNonDurableEnds(const std::string& vm) const {
   const auto found = vms_.find(vm);
   return found != vms_.end() &&
@@ -35,6 +40,7 @@
                          Millis sent, Millis now) {
   Vm* vm = FindVm(id);
   if (!vm) return;
+  if (report.worker_start_ms > 0) vm->worker_start_ms = report.worker_start_ms;
   const bool lease_expired =
       vm->UpdateClock(report.clock_ms, sent, now) || vm->lease_expired;
   // Run ends from before the lease expired that were not acknowledged are void.
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -157,6 +157,8 @@
   /// The lease has expired or the VM has restarted, so all its runs have been
   /// released. Reset by the VM's next report.
   bool lease_expired = false;
+  /// When the worker that sent the last report started, in Unix ms; 0: unknown.
+  std::int64_t worker_start_ms = 0;
   std::int64_t last_end = 0;     ///< Number of the newest processed run end.
   std::int64_t durable_end = 0;  ///< Number of the newest journaled run end.
   int consecutive_failures = 0;
--- a/src/libs/jobs/vm_report.h
+++ b/src/libs/jobs/vm_report.h
@@ -47,6 +47,8 @@
 /// Thread safety: a plain value.
 struct VmReport {
   std::int64_t clock_ms = 0;  ///< Time on the VM's monotonic clock.
+  /// When the VM's worker started, in Unix ms; 0: unknown.
+  std::int64_t worker_start_ms = 0;
   std::vector<RunningRunReport> running;
   std::vector<EndedRunReport> ended;
   /// There may be more ends than `ended` lists: the rest follows once these are
