Tests that fail: workers that start again under their ids

The promise checker tells the ends of a VM's workers apart, since their numbers repeat: an end that its worker did not get acknowledged can't be any more.

--- a/tests/auto/jobs/scheduler_fixture.cc
+++ b/tests/auto/jobs/scheduler_fixture.cc
@@ -92,7 +92,12 @@
   const Millis sent = now;
   scheduler.NextDeadline(command.vm, sent);
   now = now + kCallTime;
-  scheduler.OnCommandOutcome(command, outcome, now.count, sent, now);
+  scheduler.OnCommandOutcome(command, outcome, ClockOf(command.vm), sent, now);
+}
+
+void SchedulerFixture::RestartWorker(const std::string& vm) {
+  workers_[vm].start_ms += 1'000;
+  workers_[vm].clock_zero = now;
 }
 
 void SchedulerFixture::Report(const std::string& vm,
@@ -102,7 +107,8 @@
   scheduler.NextDeadline(vm, sent);
   now = now + kCallTime;
   VmReport report;
-  report.clock_ms = now.count;
+  report.clock_ms = ClockOf(vm);
+  report.worker_start_ms = workers_[vm].start_ms;
   report.running = std::move(running);
   report.ended = std::move(ended);
   scheduler.OnReport(vm, report, sent, now);
--- a/tests/auto/jobs/scheduler_fixture.h
+++ b/tests/auto/jobs/scheduler_fixture.h
@@ -38,6 +38,9 @@
   /// ms.
   void Report(const std::string& vm, std::vector<RunningRunReport> running,
               std::vector<EndedRunReport> ended = {});
+  /// The VM's worker starts again under the id that it had. Its clock and its
+  /// numbers of run ends start anew.
+  void RestartWorker(const std::string& vm);
   /// Answers a command with this outcome.
   void Answer(const RunCommand& command, RunCommandOutcome outcome);
   /// Returns the scheduler of a new owner, restored from the journal, with the
@@ -54,6 +57,18 @@
   std::int64_t wall_ms = 1'700'000'000'000;
   std::vector<VmListing> listings;
   std::map<std::string, records::Bytes> journal;
+
+ private:
+  struct Worker {
+    std::int64_t start_ms = 1'600'000'000'000;
+    Millis clock_zero;
+  };
+
+  std::int64_t ClockOf(const std::string& vm) {
+    return (now - workers_[vm].clock_zero).count;
+  }
+
+  std::map<std::string, Worker> workers_;
 };
 
 }  // namespace basilspur::jobs
--- /dev/null
+++ b/tests/auto/jobs/worker_restarts_test.cc
@@ -0,0 +1,192 @@
+#include <catch2/catch.hpp>
+
+#include "auto/jobs/scheduler_fixture.h"
+
+using namespace basilspur;        // NOLINT(google-build-using-namespace)
+using namespace basilspur::jobs;  // NOLINT(google-build-using-namespace)
+
+static const std::string kFirst(16, 'a');
+static const std::string kSecond(16, 'b');
+static constexpr Millis kTick(100);
+/// A run in neither list of its VM is taken to have ended after this time.
+static constexpr Millis kAbsenceTime(1'500);
+
+static RunCommand StartOf(const std::vector<RunCommand>& commands) {
+  for (const RunCommand& command : commands) {
+    if (command.kind == RunCommandKind::kStart) return command;
+  }
+  FAIL("nothing was started");
+  return {};
+}
+
+static int CountStarts(const std::vector<RunCommand>& commands) {
+  int starts = 0;
+  for (const RunCommand& command : commands)
+    starts += command.kind == RunCommandKind::kStart ? 1 : 0;
+  return starts;
+}
+
+/// Lets a job of one task end on "vm", under the end's number `end`.
+static void RunJob(SchedulerFixture& fixture, const std::string& job,
+                   std::int64_t end) {
+  fixture.Accept(job, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  const RunCommand start = StartOf(fixture.PlanAndConfirm());
+  fixture.Report(start.vm, {},
+                 {fixture.MakeEnd(end, start.task, start.run, RunEnd::kDone)});
+  fixture.Flush();
+}
+
+/// The worker of "vm" has ended a run before it starts again.
+static void PrepareRestartedWorker(SchedulerFixture& fixture) {
+  fixture.AddVm("vm");
+  RunJob(fixture, kFirst, 1);
+  REQUIRE(fixture.scheduler.NewestDurableEnd("vm") == 1);
+  fixture.now = fixture.now + Millis(60'000);
+  fixture.RestartWorker("vm");
+  fixture.Report("vm", {});
+  fixture.Flush();
+}
+
+TEST_CASE("a run that ended done on a worker that started again counts",
+          "[.][known-red]") {
+  SchedulerFixture fixture;
+  PrepareRestartedWorker(fixture);
+  RunJob(fixture, kSecond, 1);
+  CHECK(fixture.scheduler.VisibleStateOf(kSecond) == VisibleJobState::kDone);
+  fixture.now = fixture.now + kAbsenceTime;
+  fixture.Report("vm", {});
+  CHECK(CountStarts(fixture.Plan()) == 0);
+}
+
+TEST_CASE("ends of a former worker are not acknowledged to the present one",
+          "[.][known-red]") {
+  SchedulerFixture fixture;
+  PrepareRestartedWorker(fixture);
+  CHECK(fixture.scheduler.NewestDurableEnd("vm") == 0);
+}
+
+TEST_CASE("a batch of the former worker's ends acknowledges none of the new",
+          "[.][known-red]") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.Accept(kFirst, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  const RunCommand start = StartOf(fixture.PlanAndConfirm());
+  fixture.Report("vm", {},
+                 {fixture.MakeEnd(1, start.task, start.run, RunEnd::kDone)});
+  const JournalBatch batch = fixture.scheduler.TakeBatch(fixture.wall_ms);
+  fixture.RestartWorker("vm");
+  fixture.Report("vm", {});
+  fixture.scheduler.OnDurable(batch);
+  CHECK(fixture.scheduler.NewestDurableEnd("vm") == 0);
+}
+
+TEST_CASE("a late report of the former worker changes nothing",
+          "[.][known-red]") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  RunJob(fixture, kFirst, 1);
+  VmReport late;
+  late.clock_ms = fixture.now.count;
+  late.worker_start_ms = 1;
+  late.ended = {fixture.MakeEnd(7, {kFirst, 0, 0, 0}, 1, RunEnd::kFailed)};
+  fixture.RestartWorker("vm");
+  fixture.Report("vm", {});
+  fixture.Accept(kSecond, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  REQUIRE(CountStarts(fixture.PlanAndConfirm()) == 1);
+  for (int report = 0; report < 3; ++report) {
+    fixture.now = fixture.now + kAbsenceTime;
+    fixture.scheduler.OnReport("vm", late, fixture.now, fixture.now);
+  }
+  CHECK(CountStarts(fixture.Plan()) == 0);
+  CHECK(fixture.scheduler.NewestProcessedEnd("vm") == 0);
+}
+
+TEST_CASE("what ran on the former worker is started again at once",
+          "[.][known-red]") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.AddVm("other");
+  fixture.Accept(kFirst, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  const RunCommand start = StartOf(fixture.PlanAndConfirm());
+  fixture.RestartWorker(start.vm);
+  fixture.now = fixture.now + kTick;
+  fixture.Report(start.vm, {});
+  CHECK(CountStarts(fixture.Plan()) == 1);
+}
+
+TEST_CASE("a run that the new worker executes is kept") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.RestartWorker("vm");
+  // The owner has not heard of the new worker when it starts the run there.
+  fixture.Accept(kFirst, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  const RunCommand start = StartOf(fixture.PlanAndConfirm());
+  RunningRunReport row;
+  row.task = start.task;
+  row.run = start.run;
+  fixture.Report("vm", {row});
+  CHECK(fixture.Plan().empty());
+}
+
+TEST_CASE("a start that may still reach the new worker is stopped there first",
+          "[.][known-red]") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.Accept(kFirst, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  const RunCommand start = StartOf(fixture.Plan());
+  fixture.Answer(start, RunCommandOutcome::kUnknown);
+  fixture.Flush();
+  fixture.RestartWorker("vm");
+  fixture.AddVm("other");
+  fixture.Report("vm", {});
+  fixture.now = fixture.now + kTick;
+  const std::vector<RunCommand> commands = fixture.PlanAndConfirm();
+  REQUIRE(commands.size() == 1);
+  CHECK(commands[0].kind == RunCommandKind::kStop);
+  CHECK(commands[0].run == start.run);
+  fixture.now = fixture.now + kAbsenceTime;
+  fixture.Report("vm", {});
+  CHECK(CountStarts(fixture.Plan()) == 1);
+}
+
+TEST_CASE("a successor knows the ends of the worker that the journal names",
+          "[.][known-red]") {
+  SchedulerFixture fixture;
+  PrepareRestartedWorker(fixture);
+  fixture.Accept(kSecond, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  const RunCommand start = StartOf(fixture.PlanAndConfirm());
+  fixture.Flush();
+  const std::unique_ptr<Scheduler> next = fixture.TakeOver(10'001);
+  fixture.RestartWorker("vm");
+  VmReport report;
+  report.clock_ms = 10;
+  report.worker_start_ms = 1'600'000'002'000;
+  next->OnReport("vm", report, fixture.now, fixture.now);
+  CHECK(next->NewestProcessedEnd("vm") == 0);
+  // The start was confirmed by the former worker, which is gone with its runs.
+  const std::vector<RunCommand> commands =
+      next->Plan(fixture.wall_ms, fixture.now);
+  REQUIRE(CountStarts(commands) == 1);
+  CHECK(commands[0].task == start.task);
+}
+
+TEST_CASE("a new worker may hold a longer lease than its clock shows",
+          "[.][known-red]") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  fixture.AddVm("other");
+  fixture.Accept(kFirst, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  const RunCommand start = StartOf(fixture.PlanAndConfirm());
+  fixture.RestartWorker(start.vm);
+  // Renewals and starts that were meant for the former worker may have arrived.
+  // Their deadlines are cut to the longest lease.
+  RunningRunReport row;
+  row.task = start.task;
+  row.run = start.run;
+  fixture.Report(start.vm, {row});
+  fixture.scheduler.OnVmUnreachable(start.vm, VmOutage::kSilent, fixture.now);
+  fixture.now = fixture.now + Millis(9'000);
+  CHECK(CountStarts(fixture.Plan()) == 0);
+  fixture.now = fixture.now + Millis(3'000);
+  CHECK(CountStarts(fixture.Plan()) == 1);
+}
--- a/tests/sim/cell_faults.cc
+++ b/tests/sim/cell_faults.cc
@@ -112,6 +112,11 @@
       cell_.UnlistVm(vm, kListingDelay);
       co_return;
     }
+    case Kind::kWorkerRestarts: {
+      const std::string vm = PickVm();
+      if (!vm.empty()) cell_.RestartWorker(vm, Between(5, 4'000));
+      co_return;
+    }
     case Kind::kVmResized:
       co_return co_await ResizeForAWhile(PickVm());
     case Kind::kHistoryExpired:
--- a/tests/sim/cell_faults.h
+++ b/tests/sim/cell_faults.h
@@ -17,6 +17,8 @@
   /// Precondition: `cell` outlives the object, and the object the cell's runs.
   explicit CellFaults(SimulatedCell& cell);
 
+  /// Lets workers start again under the ids that they had, too.
+  void AddWorkerRestarts() { kinds_.push_back(Kind::kWorkerRestarts); }
   /// Lets VMs shrink and grow again, too.
   void AddResizing() { kinds_.push_back(Kind::kVmResized); }
 
@@ -43,7 +45,9 @@
     kVmReclaimed,
     kMuteVmAdded,
     kHistoryExpired,
-    kVmResized,  ///< Occurs on request only.
+    // These occur on request only.
+    kVmResized,
+    kWorkerRestarts,
   };
   static constexpr int kKinds = static_cast<int>(Kind::kHistoryExpired) + 1;
 
--- a/tests/sim/cell_simulation_test.cc
+++ b/tests/sim/cell_simulation_test.cc
@@ -30,6 +30,7 @@
   bool moves_accepted_jobs = false;
   double crashing_share = 0;  ///< Share of the jobs whose tasks crash VMs.
   bool vms_resize = false;
+  bool workers_restart = false;
 };
 
 static jobs::JobSpec MakeRandomJob(Random& random, const Setup& setup,
@@ -90,6 +91,7 @@
   SimulatedCell cell(seed, kNodes, setup.cells);
   CellFaults faults(cell);
   if (setup.vms_resize) faults.AddResizing();
+  if (setup.workers_restart) faults.AddWorkerRestarts();
   cell.moves_accepted_jobs = setup.moves_accepted_jobs;
   StartVms(cell);
   cell.RunUntil([&] { return cell.IsOwnerReady(); }, kFirstOwnerTimeout);
@@ -149,6 +151,13 @@
   CheckSeeds(setup);
 }
 
+TEST_CASE("a cell keeps the users' promises while workers start again",
+          "[.][known-red]") {
+  Setup setup;
+  setup.workers_restart = true;
+  CheckSeeds(setup);
+}
+
 TEST_CASE("no job waits in a full cell while another cell has room",
           "[.][known-red]") {
   Setup setup;
--- a/tests/sim/promise_checker.cc
+++ b/tests/sim/promise_checker.cc
@@ -150,6 +150,10 @@
   trace_.Add("gone vm=" + vm);
   for (auto& [task, state] : tasks_) {
     if (state.runs.erase(vm) > 0) state.last_run_end = clock_.Monotonic();
+    // The next worker of the VM uses the numbers of these ends again.
+    for (DoneEnd& done : state.done) {
+      if (done.vm == vm) done.vm += " (ended)";
+    }
   }
 }
 
--- a/tests/sim/simulated_cell.cc
+++ b/tests/sim/simulated_cell.cc
@@ -13,6 +13,7 @@
 static constexpr Millis kCallerRetryInterval(200);
 static constexpr std::size_t kMaxCandidates = 3;
 static constexpr Millis kListingDelay(2'000);
+static constexpr int kFullClockSpeed = 100;
 /// From the crash of a worker to its next start.
 static constexpr Millis kTimeToRestart(3'200);
 
@@ -191,16 +192,38 @@
   listing.kind = "a";
   listing.rack = rack;
   listing.capacity = {8'000, 64'000, 0};
+  listing.worker_start_ms = time_.Wall().count;
   current = listing.id;
-  vms_[current] = std::make_shared<SimulatedVm>(
-      network_, time_, random_, trace_, checker_, listing, clock_percent);
-  vms_[current]->on_crash = [this, id = current] {
-    Spawn(ReplaceAfterCrash(id));
-  };
-  vms_[current]->Run();
+  AddVm(listing, clock_percent);
   return current;
 }
 
+void SimulatedCell::AddVm(const jobs::VmListing& listing, int clock_percent) {
+  const auto vm = std::make_shared<SimulatedVm>(
+      network_, time_, random_, trace_, checker_, listing, clock_percent);
+  vm->on_crash = [this, id = listing.id] { Spawn(ReplaceAfterCrash(id)); };
+  vms_[listing.id] = vm;
+  vm->Run();
+}
+
+void SimulatedCell::RestartWorker(const std::string& vm, Millis pause) {
+  if (!vms_.at(vm)->IsUp()) return;
+  trace_.Add("worker ends vm=" + vm);
+  vms_.at(vm)->EndWorker();
+  Spawn(StartWorkerAgain(vm, pause));
+}
+
+net::asio::awaitable<void> SimulatedCell::StartWorkerAgain(std::string vm,
+                                                           Millis pause) {
+  co_await net::Sleep(pause);
+  if (vms_.at(vm)->IsReplaced()) co_return;
+  trace_.Add("worker starts again vm=" + vm);
+  jobs::VmListing listing = vms_.at(vm)->Listing();
+  listing.worker_start_ms = time_.Wall().count;
+  AddVm(listing, kFullClockSpeed);
+  if (IsListed(vm)) ListVm(vm, kListingDelay);
+}
+
 net::asio::awaitable<void> SimulatedCell::ReplaceAfterCrash(std::string vm) {
   co_await net::Sleep(kTimeToRestart);
   if (!vms_.at(vm)->IsReplaced()) ReplaceVm(vm);
--- a/tests/sim/simulated_cell.h
+++ b/tests/sim/simulated_cell.h
@@ -65,6 +65,8 @@
   /// Each node learns of it after a delay of its own, up to `max_delay`.
   void ListVm(const std::string& vm, Millis max_delay);
   void UnlistVm(const std::string& vm, Millis max_delay);
+  /// The VM's worker ends, and starts again under the same id after `pause`.
+  void RestartWorker(const std::string& vm, Millis pause);
   /// The VM gets this capacity, and the lists of VMs say so.
   void ResizeVm(const std::string& vm, const records::Resources& capacity);
   /// Ids of the VMs that are up.
@@ -121,6 +123,8 @@
   net::asio::awaitable<void> KillAfter(std::shared_ptr<SimulatedNode> node,
                                        int number, Millis grace);
   net::asio::awaitable<void> ReplaceAfterCrash(std::string vm);
+  net::asio::awaitable<void> StartWorkerAgain(std::string vm, Millis pause);
+  void AddVm(const jobs::VmListing& listing, int clock_percent);
   void ChangeListing(const jobs::VmListing& listing, bool listed,
                      Millis max_delay);
   /// Whether a listed VM that is up has room for two such tasks.
--- a/tests/sim/simulated_vm.cc
+++ b/tests/sim/simulated_vm.cc
@@ -203,6 +203,7 @@
   EndDueRuns();
   jobs::VmReport report;
   report.clock_ms = ClockMs();
+  report.worker_start_ms = listing_.worker_start_ms;
   report.ended = ended_;
   for (const auto& [task, run] : running_) {
     if (run.stopping) continue;
@@ -239,12 +240,16 @@
 
 void SimulatedVm::Crash(const jobs::TaskRef& task) {
   const jobs::TaskRef crashing_task = task;
-  crashed_ = true;
-  Terminate();
+  EndWorker();
   checker_.OnCrash(listing_.id, crashing_task);
   if (on_crash) on_crash();
 }
 
+void SimulatedVm::EndWorker() {
+  crashed_ = true;
+  Terminate();
+}
+
 void SimulatedVm::Terminate() {
   up_ = false;
   running_.clear();
--- a/tests/sim/simulated_vm.h
+++ b/tests/sim/simulated_vm.h
@@ -38,6 +38,8 @@
   net::asio::awaitable<cell::RenewalAnswer> Renew(cell::Renewal renewal);
   /// All runs end without a report, and later calls are not answered.
   void Terminate();
+  /// The worker ends, and so do its runs. The machine refuses connections.
+  void EndWorker();
   /// Called when a run has ended the worker.
   std::function<void()> on_crash;
   /// The VM gets this capacity. A smaller one is held against starts only once
