Split what has grown, by moves, and look up tasks and runs in one place

The search for a job, its task and a run of it stood in eight places: FindTask and FindRun. No behaviour.

--- /dev/null
+++ b/src/libs/jobs/cell_summary.h
@@ -0,0 +1,32 @@
+#ifndef BASILSPUR_JOBS_CELL_SUMMARY_H_
+#define BASILSPUR_JOBS_CELL_SUMMARY_H_
+
+#include <cstdint>
+
+#include "base/clock.h"
+#include "records/resources.h"
+
+namespace basilspur::jobs {
+
+/// Workload of a cell, for logs, metrics and load balancing between cells.
+struct CellSummary {
+  int active_jobs = 0;
+  int waiting_tasks = 0;  ///< Tasks without a run whose dependencies are done.
+  int waiting_long_running = 0;
+  int waiting_best_effort = 0;
+  int runs = 0;
+  int unreachable_vms = 0;
+  std::int64_t capacity_cpu_millis = 0;
+  std::int64_t free_cpu_millis = 0;
+  /// Of waiting tasks that are not best-effort.
+  std::int64_t waiting_cpu_millis = 0;
+  /// Of best-effort tasks, running or waiting.
+  std::int64_t best_effort_cpu_millis = 0;
+  Millis oldest_wait;  ///< Age of the oldest job with a waiting task.
+  /// Free capacity of the VM that has the most free processors.
+  records::Resources largest_room;
+};
+
+}  // namespace basilspur::jobs
+
+#endif  // BASILSPUR_JOBS_CELL_SUMMARY_H_
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -18,6 +18,16 @@
   return found == jobs_.end() ? nullptr : found->second.get();
 }
 
+Task* Scheduler::FindTask(const TaskRef& ref) {
+  Job* job = FindJob(ref.job);
+  return job ? job->Find(ref) : nullptr;
+}
+
+Run* Scheduler::FindRun(const RunKey& key, const std::string& vm) {
+  Task* task = FindTask(key.first);
+  return task ? task->FindRun(key.second, vm) : nullptr;
+}
+
 Vm* Scheduler::FindVm(const std::string& id) {
   const auto found = vms_.find(id);
   return found == vms_.end() ? nullptr : found->second.get();
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "jobs/catalog.h"
+#include "jobs/cell_summary.h"
 #include "jobs/crash_policy.h"
 #include "jobs/delegation.h"
 #include "jobs/job.h"
@@ -37,25 +38,6 @@
 /// with a tail latency target beside best-effort runs.
 enum class VmLoad { kIdle, kBusy, kMixed };
 
-/// Workload of a cell, for logs, metrics and load balancing between cells.
-struct CellSummary {
-  int active_jobs = 0;
-  int waiting_tasks = 0;  ///< Tasks without a run whose dependencies are done.
-  int waiting_long_running = 0;
-  int waiting_best_effort = 0;
-  int runs = 0;
-  int unreachable_vms = 0;
-  std::int64_t capacity_cpu_millis = 0;
-  std::int64_t free_cpu_millis = 0;
-  /// Of waiting tasks that are not best-effort.
-  std::int64_t waiting_cpu_millis = 0;
-  /// Of best-effort tasks, running or waiting.
-  std::int64_t best_effort_cpu_millis = 0;
-  Millis oldest_wait;  ///< Age of the oldest job with a waiting task.
-  /// Free capacity of the VM that has the most free processors.
-  records::Resources largest_room;
-};
-
 /// State of a job as reported to callers.
 enum class VisibleJobState { kQueued, kRunning, kDone, kFailed, kCancelled };
 
@@ -232,6 +214,10 @@
   };
 
   Job* FindJob(const std::string& id);
+  /// Returns null if the job or the task is not known.
+  Task* FindTask(const TaskRef& ref);
+  /// Returns null if the run is not known on that VM.
+  Run* FindRun(const RunKey& key, const std::string& vm);
   Vm* FindVm(const std::string& id);
   /// Returns the VM, which an earlier owner may have used.
   Vm& InheritVm(const std::string& id, const std::string& address, Millis now);
--- a/src/libs/jobs/scheduler_losses.cc
+++ b/src/libs/jobs/scheduler_losses.cc
@@ -21,25 +21,22 @@
   // may end before that.
   const VmLoss loss = MakeVmLoss(vm, VmLossCause::kLeaseExpired, now);
   for (const CrashSuspect& suspect : crash_policy_.SelectSuspects(loss)) {
-    Job* job = FindJob(suspect.task.job);
-    Task* task = job ? job->Find(suspect.task) : nullptr;
+    Task* task = FindTask(suspect.task);
     if (!task) continue;
     for (Run& run : task->runs) {
       if (run.vm == vm.listing.id) run.may_have_crashed_vm = true;
     }
-    MarkProgressDirty(*job);
+    MarkProgressDirty(*FindJob(suspect.task.job));
     urgent_changes_ = true;
   }
 }
 
 void Scheduler::UnmarkCrashingRuns(Vm& vm) {
   for (const auto& [key, charged_run] : vm.Runs()) {
-    Job* job = FindJob(key.first.job);
-    Task* task = job ? job->Find(key.first) : nullptr;
-    Run* run = task ? task->FindRun(key.second, vm.listing.id) : nullptr;
+    Run* run = FindRun(key, vm.listing.id);
     if (!run || !run->may_have_crashed_vm) continue;
     run->may_have_crashed_vm = false;
-    MarkProgressDirty(*job);
+    MarkProgressDirty(*FindJob(key.first.job));
   }
 }
 
@@ -79,9 +76,8 @@
   loss.outage = vm.outage;
   loss.was_draining = vm.listing.draining;
   for (const auto& [key, charged_run] : vm.Runs()) {
-    Job* job = FindJob(key.first.job);
-    Task* task = job ? job->Find(key.first) : nullptr;
-    const Run* run = task ? task->FindRun(key.second, vm.listing.id) : nullptr;
+    const Task* task = FindTask(key.first);
+    const Run* run = FindRun(key, vm.listing.id);
     LostRun& lost = loss.runs.emplace_back();
     lost.task = key.first;
     lost.run = key.second;
--- a/src/libs/jobs/scheduler_releases.cc
+++ b/src/libs/jobs/scheduler_releases.cc
@@ -7,8 +7,7 @@
 void Scheduler::ReleaseRun(Vm& vm, const TaskRef& ref, int number) {
   vm.Remove({ref, number});
   orphaned_runs_.erase({vm.listing.id, {ref, number}});
-  Job* job = FindJob(ref.job);
-  Task* task = job ? job->Find(ref) : nullptr;
+  Task* task = FindTask(ref);
   if (!task) return;
   std::erase_if(task->runs, [&](const Run& run) {
     return run.number == number && run.vm == vm.listing.id;
@@ -50,9 +49,7 @@
     if (std::any_of(report.running.begin(), report.running.end(), has)) {
       continue;
     }
-    Job* job = FindJob(key.first.job);
-    Task* task = job ? job->Find(key.first) : nullptr;
-    Run* run = task ? task->FindRun(key.second, vm.listing.id) : nullptr;
+    Run* run = FindRun(key, vm.listing.id);
     const bool ended = run ? UpdateAbsentRun(*run, sent)
                            : UpdateAbsentOrphan(*vm.FindRun(key), sent);
     if (ended) absent.push_back(key);
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -221,9 +221,8 @@
     OnVmRestarted(command.vm, now);
     return;
   }
-  Job* job = FindJob(command.task.job);
-  Task* task = job ? job->Find(command.task) : nullptr;
-  Run* run = task ? task->FindRun(command.run, command.vm) : nullptr;
+  Task* task = FindTask(command.task);
+  Run* run = FindRun({command.task, command.run}, command.vm);
   if (!run) return;
   if (command.kind == RunCommandKind::kStop) {
     if (outcome != RunCommandOutcome::kDone) return;
--- a/src/libs/jobs/scheduler_reservations.cc
+++ b/src/libs/jobs/scheduler_reservations.cc
@@ -32,10 +32,7 @@
     if (!vm->listing.draining || !vm->reachable) continue;
     for (const auto& [key, run] : vm->Runs()) {
       if (!run.long_running) continue;
-      Job* job = FindJob(key.first.job);
-      Task* task = job ? job->Find(key.first) : nullptr;
-      const Run* known =
-          task ? task->FindRun(key.second, vm->listing.id) : nullptr;
+      const Run* known = FindRun(key, vm->listing.id);
       if (!known) continue;
       if (known->phase == RunPhase::kStopping) ++moving;
       if (known->phase == RunPhase::kRunning) to_evacuate.emplace_back(vm, key);
--- a/src/libs/jobs/scheduler_workers.cc
+++ b/src/libs/jobs/scheduler_workers.cc
@@ -35,9 +35,7 @@
       kept.insert(key);
       continue;
     }
-    Job* job = FindJob(key.first.job);
-    Task* task = job ? job->Find(key.first) : nullptr;
-    Run* run = task ? task->FindRun(key.second, vm.listing.id) : nullptr;
+    Run* run = FindRun(key, vm.listing.id);
     // Starts of earlier owners are rejected: the report answers a renewal with
     // this owner's token.
     if (!run || run->starts_sent == 0) continue;
--- a/tests/sim/simulated_cell.h
+++ b/tests/sim/simulated_cell.h
@@ -20,6 +20,8 @@
 
 /// A node's name and address are this and its number.
 inline constexpr char kNodePrefix[] = "node";
+/// The service whose VMs run the jobs.
+inline constexpr char kService[] = "workers";
 
 /// A cell, or several ones, with several nodes, a store and VMs in simulated
 /// time. The same seed and calls give the same course of events.
