--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -85,7 +85,7 @@
 void CellOwner::LogWorkerStart(const std::string& vm,
                                const jobs::VmReport& report) const {
   const std::int64_t known_start = scheduler_.WorkerStartOf(vm);
-  if (report.worker_start_ms == known_start) return;
+  if (known_start == 0 || report.worker_start_ms == known_start) return;
   const std::int64_t known_end = scheduler_.NewestProcessedEnd(vm);
   const auto skipped =
       std::count_if(report.ended.begin(), report.ended.end(),
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -248,7 +248,8 @@
   /// one of a new worker of the VM.
   void ReplaceWorker(Vm& vm, const VmReport& report, Millis sent, Millis now);
   /// Returns the runs that the new worker executes, has ended, or may start
-  /// yet.
+  /// yet. The last ones are to be stopped, unless they were sent after the
+  /// report was asked for.
   std::set<RunKey> RunsOfNewWorker(const Vm& vm, const VmReport& report,
                                    Millis sent);
   /// No run of the VM but `kept` is left, and none of them was reported as
--- a/src/libs/jobs/scheduler_losses.cc
+++ b/src/libs/jobs/scheduler_losses.cc
@@ -17,8 +17,8 @@
 }
 
 void Scheduler::MarkCrashingRuns(Vm& vm, Millis now) {
-  // The journal has to name them before the VM is known to be lost: the owner
-  // may end before that.
+  // The journal has to name them before the VM is known to be lost, since the
+  // owner may end before that. A loss by a lease that expires looks the same.
   const VmLoss loss = MakeVmLoss(vm, VmLossCause::kLeaseExpired, now);
   for (const CrashSuspect& suspect : crash_policy_.SelectSuspects(loss)) {
     Task* task = FindTask(suspect.task);
@@ -115,7 +115,8 @@
     loss.suspects.push_back(suspect);
     MarkProgressDirty(*job);
     urgent_changes_ = true;
-    // An owner that has no access to the journal may start the task in vain.
+    // A successor has to know of more than one crash, so the next start waits
+    // for the journal.
     if (task->crashes > 1) task->placement_batch = taken_batches_ + 1;
     // The owner of a guest job's home cell decides, by the host's report.
     if (task->crashes >= settings_.max_crashes && !job->IsGuest())
