--- a/tests/auto/jobs/worker_restarts_test.cc
+++ b/tests/auto/jobs/worker_restarts_test.cc
@@ -158,7 +158,7 @@
   report.worker_start_ms = 1'600'000'002'000;
   next->OnReport("vm", report, fixture.now, fixture.now);
   CHECK(next->NewestProcessedEnd("vm") == 0);
-  // The start was confirmed by the former worker, which is gone with its runs.
+  // The former worker had confirmed the start, and its runs ended with it.
   const std::vector<RunCommand> commands =
       next->Plan(fixture.wall_ms, fixture.now);
   REQUIRE(CountStarts(commands) == 1);
