--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -321,7 +321,13 @@
 
 net::asio::awaitable<void> CellMember::HandOver() {
   const auto self = shared_from_this();
+  const bool claim_pending = appending_ && !election_.Owns();
+  if (claim_pending) {
+    kLog.Info("event=claim_pending_while_leaving cell=" +
+              std::to_string(cell_));
+  }
   if (!owner_ || !election_.Owns()) co_return;
+  const Millis started = clock_.Monotonic();
   const bool journal_complete = co_await owner_->Drain(kDrainTimeout);
   if (!owner_) co_return;
   OwnerRecord record = election_.MakeRenewalRecord(identity_.peer_address);
@@ -332,7 +338,9 @@
   const KeyedRecord written{kOwnerKey, records::Encode(record), 0};
   kLog.Info("event=handover_started cell=" + std::to_string(cell_) +
             " token=" + std::to_string(record.token) + " journal_complete=" +
-            std::to_string(static_cast<int>(journal_complete)));
+            std::to_string(static_cast<int>(journal_complete)) + " was_ready=" +
+            std::to_string(owner_->IsReady() ? 1 : 0) + " drain_ms=" +
+            std::to_string((clock_.Monotonic() - started).count));
   StopOwner();
   for (int attempt = 0; attempt < kMaxVacateAttempts; ++attempt) {
     std::vector<KeyedRecord> records(1, written);
--- a/src/libs/cell/request_forwarder.cc
+++ b/src/libs/cell/request_forwarder.cc
@@ -26,6 +26,7 @@
   Millis deadline;
   bool in_doubt = false;  ///< An earlier attempt may have been executed.
   bool counted_wait = false;
+  int attempts = 0;
   std::string tried_owner;  ///< Incarnation of the owner that was called last.
   std::set<std::string> used_relays;
   std::optional<Millis> relayed_at;
@@ -102,12 +103,16 @@
   search.deadline =
       search.started + Millis(request.timeout_ms) - settings_.reply_margin;
   for (;;) {
-    if (IsTimedOut(search, request)) co_return FinalReply(search, request);
+    if (IsTimedOut(search, request)) {
+      LogNotServed(request, search);
+      co_return FinalReply(search, request);
+    }
     if (!search.counted_wait &&
         Now() - search.started > settings_.owner_search_timeout) {
       search.counted_wait = true;
       ++counters_.waited_for_owner;
     }
+    ++search.attempts;
     JobReply reply = co_await TryOnce(request, search);
     if (reply.kind == ReplyKind::kMoved && !request.moved) {
       request.cell = reply.count;
@@ -189,6 +194,41 @@
             " peers=" + std::to_string(contacts_.Peers().Size()));
 }
 
+static const char* NameOf(RequestKind kind) {
+  switch (kind) {
+    case RequestKind::kSubmit:
+      return "submit";
+    case RequestKind::kStatus:
+      return "status";
+    case RequestKind::kCancel:
+      return "cancel";
+    case RequestKind::kCount:
+      return "count";
+    case RequestKind::kStepDown:
+      return "step_down";
+  }
+  return "";
+}
+
+void RequestForwarder::LogNotServed(const JobRequest& request,
+                                    const Search& search) const {
+  const std::shared_ptr<CellMember> member = callbacks_.member(request.cell);
+  const std::optional<OwnerRecord>& owner = member->KnownOwner();
+  const auto flag = [](bool value) { return value ? "1" : "0"; };
+  kLog.Info(
+      "event=request_not_served reason=\"no owner of the cell has answered in "
+      "time; the caller has to ask again\" job=" +
+      request.job + " request=" + NameOf(request.kind) + " cell=" +
+      std::to_string(request.cell) + " moved=" + flag(request.moved) +
+      " waited_ms=" + std::to_string((Now() - search.started).count) +
+      " limit_ms=" + std::to_string((search.deadline - search.started).count) +
+      " attempts=" + std::to_string(search.attempts) + " in_doubt=" +
+      flag(search.in_doubt) + " owner=" + (owner ? owner->node : "none") +
+      " tried_owner=" + flag(!search.tried_owner.empty()) +
+      " reads_store=" + flag(member->ReadsStore()) +
+      " owner_changing=" + flag(member->IsChangingOwner()));
+}
+
 net::asio::awaitable<JobReply> RequestForwarder::TryPaths(
     JobRequest request, Search& search, std::optional<OwnerRecord> owner) {
   const auto attempt = std::make_shared<Attempt>(context_);
--- a/src/libs/cell/request_forwarder.h
+++ b/src/libs/cell/request_forwarder.h
@@ -91,6 +91,7 @@
   /// Whether other entries can know more of the owner than its silence or reply
   /// since `started` says.
   bool MayRelayHelp(const Attempt& attempt, Millis started) const;
+  void LogNotServed(const JobRequest& request, const Search& search) const;
   void LogRelay(const JobRequest& request, const Attempt& attempt,
                 const std::string& relay, Millis age) const;
   std::vector<std::string> ChooseRelays(const std::string& owner_address,
