Answer what waits before a stop ends

Cause: the stop ends by the clock, while each request keeps its caller's whole limit. Ruled out: answers lost while they are written, and SIGKILL (each cut came 0.7 s before the grace's end, from an entry that logged as many open requests).

RequestForwarder::LimitReplies gives all requests, also those that wait already, a time by which they are answered: refused if no owner can have them, in doubt otherwise.

--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -79,6 +79,8 @@
   /// Hands over all cells, and returns after `limit` at the latest. Callers are
   /// still served. Returns whether no cell is left.
   net::asio::awaitable<bool> Leave(Millis limit);
+  /// Answers all requests of callers by this time, also later ones.
+  void LimitReplies(Millis reply_by) { forwarder_.LimitReplies(reply_by); }
   const RequestForwarder::Counters& ForwardCounts() const {
     return forwarder_.Counts();
   }
--- a/src/libs/cell/request_forwarder.cc
+++ b/src/libs/cell/request_forwarder.cc
@@ -76,10 +76,22 @@
       contacts_(contacts),
       callbacks_(std::move(callbacks)) {}
 
+void RequestForwarder::LimitReplies(Millis reply_by) {
+  reply_by_ = reply_by;
+  for (const auto& attempt : attempts_) attempt->changed.NotifyAll();
+}
+
+Millis RequestForwarder::DeadlineOf(const Search& search) const {
+  return reply_by_ ? std::min(search.deadline, *reply_by_) : search.deadline;
+}
+
 bool RequestForwarder::IsTimedOut(const Search& search,
                                   const JobRequest& request) const {
   const Millis now = Now();
-  if (now >= search.deadline) return true;
+  if (now >= DeadlineOf(search)) return true;
+  const bool has_begun = search.attempts > 0;
+  if (reply_by_ && !has_begun && now + settings_.min_serving_time > *reply_by_)
+    return true;
   if (search.in_doubt || now - search.started <= settings_.owner_search_timeout)
     return false;
   const std::shared_ptr<CellMember> member = callbacks_.member(request.cell);
@@ -132,7 +144,7 @@
 net::asio::awaitable<JobReply> RequestForwarder::TryOnce(JobRequest request,
                                                          Search& search) {
   const std::shared_ptr<CellMember> member = callbacks_.member(request.cell);
-  request.timeout_ms = (search.deadline - Now()).count;
+  request.timeout_ms = (DeadlineOf(search) - Now()).count;
   if (member->Owner()) {
     search.tried_owner = self_.incarnation;
     JobReply reply = co_await member->Owner()->Handle(request);
@@ -172,10 +184,15 @@
 }
 
 net::asio::awaitable<void> RequestForwarder::WaitForAnswer(
-    std::shared_ptr<Attempt> attempt, Millis until) {
-  while (!attempt->answer && attempt->pending > 0 && Now() < until) {
+    std::shared_ptr<Attempt> attempt, const Search& search, Millis timeout) {
+  const Millis timeout_at = Now() + timeout;
+  attempts_.insert(attempt);
+  while (!attempt->answer && attempt->pending > 0) {
+    const Millis until = std::min(timeout_at, DeadlineOf(search));
+    if (Now() >= until) break;
     co_await attempt->changed.WaitFor(until - Now());
   }
+  attempts_.erase(attempt);
 }
 
 bool RequestForwarder::MayRelayHelp(const Attempt& attempt,
@@ -242,7 +259,8 @@
   }
   for (const std::string& path : paths) {
     const Millis started = Now();
-    if (started >= search.deadline) break;
+    const Millis left = DeadlineOf(search) - started;
+    if (left <= Millis(0)) break;
     const bool is_relay = path != owner_address;
     JobRequest copy = request;
     if (is_relay) {
@@ -252,13 +270,12 @@
       ++counters_.relayed;
       LogRelay(request, *attempt, path, started - search.started);
     }
-    StartCall(attempt, path, std::move(copy), search.deadline - started);
-    co_await WaitForAnswer(
-        attempt, std::min(started + settings_.relay_delay, search.deadline));
+    StartCall(attempt, path, std::move(copy), left);
+    co_await WaitForAnswer(attempt, search, settings_.relay_delay);
     if (attempt->answer) break;
     if (!is_relay && !MayRelayHelp(*attempt, started)) break;
   }
-  co_await WaitForAnswer(attempt, search.deadline);
+  co_await WaitForAnswer(attempt, search, DeadlineOf(search) - Now());
   if (attempt->answer) co_return *attempt->answer;
   if (attempt->pending > 0 || attempt->in_doubt) {
     if (attempt->owner) attempt->member->OnOwnerDoubted();
--- a/src/libs/cell/request_forwarder.h
+++ b/src/libs/cell/request_forwarder.h
@@ -30,6 +30,8 @@
   Millis relay_delay{1'000};
   /// Shortest time between two attempts through other entries.
   Millis relay_interval{500};
+  /// With less time than this until LimitReplies(), a request is not begun.
+  Millis min_serving_time{250};
 };
 
 /// Brings a request to the owner of its cell: directly, or through another
@@ -72,12 +74,17 @@
   /// it on if the other entry asks for that.
   net::asio::awaitable<JobReply> ServePeer(JobRequest request);
 
+  /// Ends all requests by this time, begun ones and later ones: those that have
+  /// not been sent to an owner with a refusal, others as in doubt.
+  void LimitReplies(Millis reply_by);
+
   const Counters& Counts() const { return counters_; }
 
  private:
   struct Search;
   struct Attempt;
 
+  Millis DeadlineOf(const Search& search) const;
   bool IsTimedOut(const Search& search, const JobRequest& request) const;
   JobReply FinalReply(const Search& search, const JobRequest& request) const;
   net::asio::awaitable<JobReply> TryOnce(JobRequest request, Search& search);
@@ -85,9 +92,11 @@
   /// the previous one has failed or timed out.
   net::asio::awaitable<JobReply> TryPaths(JobRequest request, Search& search,
                                           std::optional<OwnerRecord> owner);
-  /// Waits until a call is answered, all have ended, or `until`.
+  /// Waits until a call is answered, all have ended, or for `timeout`, but not
+  /// longer than until the request's deadline.
   net::asio::awaitable<void> WaitForAnswer(std::shared_ptr<Attempt> attempt,
-                                           Millis until);
+                                           const Search& search,
+                                           Millis timeout);
   /// Whether other entries can know more of the owner than its silence or reply
   /// since `started` says.
   bool MayRelayHelp(const Attempt& attempt, Millis started) const;
@@ -112,6 +121,8 @@
   PeerContacts& contacts_;
   Callbacks callbacks_;
   Counters counters_;
+  std::optional<Millis> reply_by_;
+  std::set<std::shared_ptr<Attempt>> attempts_;  ///< Those that wait.
 };
 
 }  // namespace basilspur::cell
--- a/tests/system/platform_deployment.h
+++ b/tests/system/platform_deployment.h
@@ -30,6 +30,9 @@
   /// Throws if not all entries are ready within 10 s.
   void WaitUntilReady();
 
+  const std::string& CallerAddress(int entry) const {
+    return addresses_[entry].caller_api;
+  }
   /// The HTTP status of a call on the callers' interface; 0 without a response.
   unsigned Call(int entry, const std::string& method, const std::string& path,
                 const std::string& body = "");
