--- a/tests/system/platform_deployment.cc
+++ b/tests/system/platform_deployment.cc
@@ -140,6 +140,20 @@
   return IsOk(answer) ? ValueOf(answer).status : 0;
 }
 
+cell::JobReply PlatformDeployment::CallAsPeer(int entry,
+                                              const cell::JobRequest& request) {
+  const records::Bytes bytes = records::Encode(request);
+  net::HttpRequest message;
+  message.method = "POST";
+  message.target = "/jobs";
+  message.body = std::string(bytes.begin(), bytes.end());
+  const auto answer = CallOnce(addresses_[entry].peers, std::move(message));
+  if (!IsOk(answer)) return {cell::ReplyKind::kInDoubt};
+  const std::string& body = ValueOf(answer).body;
+  const auto* data = reinterpret_cast<const std::uint8_t*>(body.data());
+  return ValueOf(records::Decode<cell::JobReply>(std::span(data, body.size())));
+}
+
 bool PlatformDeployment::IsReady(int entry) {
   net::HttpRequest request;
   request.target = "/-/ready";
--- a/tests/system/platform_deployment.h
+++ b/tests/system/platform_deployment.h
@@ -7,6 +7,7 @@
 #include <thread>
 #include <vector>
 
+#include "cell/peer_messages.h"
 #include "standins/store_standin.h"
 #include "standins/worker_standin.h"
 #include "system/process.h"
@@ -33,6 +34,9 @@
   const std::string& CallerAddress(int entry) const {
     return addresses_[entry].caller_api;
   }
+  /// Sends a request as another entry would. An entry that ends the connection
+  /// without a response leaves the request in doubt.
+  cell::JobReply CallAsPeer(int entry, const cell::JobRequest& request);
   /// The HTTP status of a call on the callers' interface; 0 without a response.
   unsigned Call(int entry, const std::string& method, const std::string& path,
                 const std::string& body = "");
