Answer requests that arrive just before a stop ends

Callers saw connections reset after they had sent a whole request: it had arrived at a stopping entry, on a connection that was not accepted yet, in the pass of the event loop in which the entry found that no request was open and exited.

Cause: only requests that had been read were counted. Connections that wait to be accepted, and requests that wait to be read, ended with the process. With a store that does not respond the exit came straight after the hand-over's time limit, without a last look at the sockets.

Change: the end of a stop closes each server's sockets one by one. A listening socket is closed when no connection waits on it, a connection when nothing has arrived on it; a read that has completed meanwhile is served. A new connection is left open for 100 ms for its first request.

Test: the entry is frozen from 2.2 s to 2.7 s after the SIGTERM while 8 connections with one request each arrive.

--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -1,11 +1,16 @@
 #include "net/http_server.h"
 
+#include <poll.h>
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <memory>
 #include <utility>
 
 #include "net/address.h"
+#include "net/http_shutdown.h"
+#include "net/server_socket.h"
 #include "net/spawn.h"
 
 namespace basilspur::net {
@@ -15,6 +20,9 @@
 
 static constexpr std::chrono::seconds kIdleTimeout(60);
 static constexpr Millis kAcceptRetryInterval(50);
+/// In a shutdown, a new connection is left open this long for its first
+/// request, which usually follows at once.
+static constexpr std::chrono::milliseconds kFirstRequestDelay(100);
 
 /// Counts a request as active while it exists.
 class ActiveRequest {
@@ -37,10 +45,83 @@
   HttpHandler handler;
   HttpServerOptions options;
 
-  bool IsDraining() const { return options.draining && *options.draining; }
+  bool IsShuttingDown() const {
+    return options.shutdown && options.shutdown->HasBegun();
+  }
 };
 
 using SharedServerState = std::shared_ptr<const ServerState>;
+using RequestParser = http::request_parser<http::string_body>;
+
+/// A connection of a server.
+class ServerConnection final : public ServerSocket {
+ public:
+  ServerConnection(asio::ip::tcp::socket socket, HttpShutdown* shutdown)
+      : ServerSocket(shutdown), stream_(std::move(socket)) {}
+
+  beast::tcp_stream& Stream() { return stream_; }
+
+  /// Reads the next request. Fails with operation_aborted if the connection is
+  /// idle and the server shuts down.
+  asio::awaitable<error_code> ReadRequest(RequestParser& parser) {
+    error_code failure;
+    parser_ = &parser;
+    do {
+      failure = {};
+      co_await http::async_read(
+          stream_, buffer_, parser,
+          asio::redirect_error(asio::use_awaitable, failure));
+    } while (failure == asio::error::operation_aborted && HasInput());
+    parser_ = nullptr;
+    has_had_request_ = true;
+    co_return failure;
+  }
+
+  /// Ends a wait for a request. If a read has completed meanwhile, its data is
+  /// processed.
+  void CloseIfIdle() override {
+    if (!parser_ || HasInput()) return;
+    const auto age = std::chrono::steady_clock::now() - opened_at_;
+    if (!has_had_request_ && age < kFirstRequestDelay) return;
+    stream_.cancel();
+  }
+
+ private:
+  /// Whether a part of the next request has arrived.
+  bool HasInput() {
+    error_code failure;
+    return parser_->got_some() || buffer_.size() > 0 ||
+           stream_.socket().available(failure) > 0;
+  }
+
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  RequestParser* parser_ = nullptr;  ///< Set while a request is awaited.
+  bool has_had_request_ = false;
+  const std::chrono::steady_clock::time_point opened_at_ =
+      std::chrono::steady_clock::now();
+};
+
+/// The listening socket of a server.
+class ServerListener final : public ServerSocket {
+ public:
+  ServerListener(asio::ip::tcp::acceptor acceptor, HttpShutdown* shutdown)
+      : ServerSocket(shutdown), acceptor_(std::move(acceptor)) {}
+
+  asio::ip::tcp::acceptor& Acceptor() { return acceptor_; }
+
+  void CloseIfIdle() override {
+    if (!acceptor_.is_open()) return;
+    pollfd listening = {acceptor_.native_handle(), POLLIN, 0};
+    const bool connection_waits = poll(&listening, 1, /*timeout=*/0) > 0;
+    if (connection_waits) return;
+    error_code ignored;
+    acceptor_.close(ignored);
+  }
+
+ private:
+  asio::ip::tcp::acceptor acceptor_;
+};
 
 static HttpRequest ToRequest(http::request<http::string_body>&& message) {
   HttpRequest request;
@@ -83,17 +164,14 @@
       stream, message, asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-static asio::awaitable<void> ServeConnection(beast::tcp_stream stream,
-                                             SharedServerState state) {
-  beast::flat_buffer buffer;
+static asio::awaitable<void> ServeConnection(
+    std::unique_ptr<ServerConnection> connection, SharedServerState state) {
+  beast::tcp_stream& stream = connection->Stream();
   for (;;) {
     stream.expires_after(kIdleTimeout);
-    http::request_parser<http::string_body> parser;
+    RequestParser parser;
     parser.body_limit(state->options.max_body_bytes);
-    error_code failure;
-    co_await http::async_read(
-        stream, buffer, parser,
-        asio::redirect_error(asio::use_awaitable, failure));
+    error_code failure = co_await connection->ReadRequest(parser);
     if (failure) {
       if (IsMalformed(failure)) co_await RejectRequest(stream, failure);
       co_return;
@@ -106,7 +184,7 @@
     const bool client_keeps_alive = parser.get().keep_alive();
     HttpResponse response =
         co_await state->handler(ToRequest(parser.release()));
-    const bool keep_alive = client_keeps_alive && !state->IsDraining();
+    const bool keep_alive = client_keeps_alive && !state->IsShuttingDown();
     http::response<http::string_body> message(
         static_cast<http::status>(response.status), 11);
     message.set(http::field::content_type, response.content_type);
@@ -121,10 +199,11 @@
   }
 }
 
-static asio::awaitable<void> AcceptLoop(asio::io_context& context,
-                                        asio::ip::tcp::acceptor acceptor,
-                                        SharedServerState state) {
-  for (;;) {
+static asio::awaitable<void> AcceptLoop(
+    asio::io_context& context, std::unique_ptr<ServerListener> listener,
+    SharedServerState state) {
+  asio::ip::tcp::acceptor& acceptor = listener->Acceptor();
+  while (acceptor.is_open()) {
     error_code failure;
     asio::ip::tcp::socket socket = co_await acceptor.async_accept(
         asio::redirect_error(asio::use_awaitable, failure));
@@ -137,7 +216,9 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     // If the handler fails, the caller gets no answer: it is not known what was
     // done.
-    Spawn(context, ServeConnection(beast::tcp_stream(std::move(socket)), state),
+    auto connection = std::make_unique<ServerConnection>(
+        std::move(socket), state->options.shutdown);
+    Spawn(context, ServeConnection(std::move(connection), state),
           "http_connection");
   }
 }
@@ -160,10 +241,11 @@
                                 HttpServerOptions options) {
   Result<asio::ip::tcp::acceptor> listening = Listen(context, address);
   if (!IsOk(listening)) return ErrorOf(listening);
-  asio::ip::tcp::acceptor& acceptor = ValueOf(listening);
-  const std::uint16_t port = acceptor.local_endpoint().port();
+  auto listener = std::make_unique<ServerListener>(
+      std::move(ValueOf(listening)), options.shutdown);
+  const std::uint16_t port = listener->Acceptor().local_endpoint().port();
   Spawn(context,
-        AcceptLoop(context, std::move(acceptor),
+        AcceptLoop(context, std::move(listener),
                    std::make_shared<ServerState>(
                        ServerState{std::move(handler), options})),
         "http_accept");
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -11,12 +11,13 @@
 
 namespace basilspur::net {
 
+class HttpShutdown;
+
 /// Settings of an HTTP server.
 struct HttpServerOptions {
   std::uint64_t max_body_bytes = 64ULL << 20;
-  /// While true, each connection is closed after its next response; may be
-  /// null.
-  const bool* draining = nullptr;
+  /// Ends this server and others; may be null, otherwise outlives `context`.
+  HttpShutdown* shutdown = nullptr;
   /// Number of requests that are being answered, kept up to date by the server;
   /// may be null.
   int* active_requests = nullptr;
--- a/tests/system/termination_requests_test.cc
+++ b/tests/system/termination_requests_test.cc
@@ -3,11 +3,16 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <future>
+#include <list>
+#include <string>
 #include <thread>
+#include <vector>
 
+#include "system/caller_connection.h"
 #include "system/platform_deployment.h"
 
 using namespace basilspur;  // NOLINT(google-build-using-namespace)
+using system_test::CallerConnection;
 using system_test::PlatformDeployment;
 
 static constexpr char kJobId[] = "0000000000000001";
@@ -40,3 +45,27 @@
   CHECK(reply.get().kind == cell::ReplyKind::kDone);
   CHECK(deployment.WaitForExit(relay) == 0);
 }
+
+TEST_CASE("a request that arrives just before the exit gets no answer") {
+  // The exit did not wait for connections and requests that were not read yet.
+  PlatformDeployment deployment(1, 1);
+  deployment.WaitUntilReady();
+  std::list<CallerConnection> connections;
+  deployment.Signal(0, SIGTERM);
+  Sleep(Millis(2'200));
+  // Everything arrives in one pass of the entry's event loop, at the time of
+  // its exit.
+  deployment.Signal(0, SIGSTOP);
+  for (int i = 0; i < 8; ++i)
+    connections.emplace_back(deployment.CallerAddress(0));
+  std::vector<std::future<unsigned>> statuses;
+  for (CallerConnection& connection : connections) {
+    statuses.push_back(std::async(std::launch::async, [&connection] {
+      return connection.Call("GET", std::string("/q/") + kJobId);
+    }));
+  }
+  Sleep(Millis(500));
+  deployment.Signal(0, SIGCONT);
+  for (std::future<unsigned>& status : statuses) CHECK(status.get() == 503);
+  CHECK(deployment.WaitForExit(0) == 0);
+}
