Search for the owner of a moved job's cell for as long as for its home's

A caller got 503 about an accepted job that had moved, though the owners of both cells were in place and its time was not up: once the owner of the home cell had taken over 0.7 s to answer, the request was given up without any attempt at the cell that has the job. It was so where one entry owns both cells, and at an entry that does not know the owner of the second cell yet.

The time of the search and the owner that was tried last were those of the home cell. Both now begin again in the cell that the job moved to; the caller's time limit still ends the whole.

The test freezes the owner of both cells for 0.9 s.

--- a/src/libs/cell/request_forwarder.cc
+++ b/src/libs/cell/request_forwarder.cc
@@ -24,6 +24,7 @@
 struct RequestForwarder::Search {
   Millis started;
   Millis deadline;
+  Millis cell_started;    ///< When the search in the present cell began.
   bool in_doubt = false;  ///< An earlier attempt may have been executed.
   bool counted_wait = false;
   int attempts = 0;
@@ -92,7 +93,8 @@
   const bool has_begun = search.attempts > 0;
   if (reply_by_ && !has_begun && now + settings_.min_serving_time > *reply_by_)
     return true;
-  if (search.in_doubt || now - search.started <= settings_.owner_search_timeout)
+  const Millis searched = now - search.cell_started;
+  if (search.in_doubt || searched <= settings_.owner_search_timeout)
     return false;
   const std::shared_ptr<CellMember> member = callbacks_.member(request.cell);
   const std::optional<OwnerRecord>& owner = member->KnownOwner();
@@ -111,7 +113,7 @@
 
 net::asio::awaitable<JobReply> RequestForwarder::Forward(JobRequest request) {
   Search search;
-  search.started = Now();
+  search.started = search.cell_started = Now();
   search.deadline =
       search.started + Millis(request.timeout_ms) - settings_.reply_margin;
   for (;;) {
@@ -120,7 +122,7 @@
       co_return FinalReply(search, request);
     }
     if (!search.counted_wait &&
-        Now() - search.started > settings_.owner_search_timeout) {
+        Now() - search.cell_started > settings_.owner_search_timeout) {
       search.counted_wait = true;
       ++counters_.waited_for_owner;
     }
@@ -129,6 +131,8 @@
     if (reply.kind == ReplyKind::kMoved && !request.moved) {
       request.cell = reply.count;
       request.moved = true;
+      search.cell_started = Now();
+      search.tried_owner.clear();
       search.used_relays.clear();
       continue;
     }
--- a/tests/sim/job_state_test.cc
+++ b/tests/sim/job_state_test.cc
@@ -181,3 +181,45 @@
     CheckAllJobsAreShown(cell, seed);
   });
 }
+
+/// Returns a job whose home is the first cell and that was moved to the other.
+static std::string SubmitUntilOneMoves(SimulatedCell& cell) {
+  for (int number = 0; number < 200; ++number) {
+    const std::string job = "job" + std::to_string(number);
+    if (CellOfJob(job, cell.CellCount()) != 0) continue;
+    cell.Submit(job, MakeJob(8, Millis(60'000)));
+    cell.RunFor(Millis(300));
+    const auto& state = cell.Node(cell.Owner(0)).Member(0).Owner();
+    if (state->SchedulerState().Moved().Contains(job)) return job;
+  }
+  return "";
+}
+
+/// Guards against a refusal without any attempt at the cell that a job moved to
+/// once the owner of its home cell has taken longer than the search for an
+/// owner may take.
+TEST_CASE("the state of a moved job is told when its home cell answers late") {
+  ForEachSeed(20, [](std::uint64_t seed) {
+    CAPTURE(seed);
+    SimulatedCell cell(seed, /*nodes=*/2, /*cells=*/2);
+    // One node owns both cells.
+    cell.KillNode(1);
+    cell.ListVm(cell.StartVm("vm0", 100, 0), kNoDelay);
+    for (int vm = 1; vm < 4; ++vm)
+      cell.ListVm(cell.StartVm("vm" + std::to_string(vm), 100, 1), kNoDelay);
+    REQUIRE(cell.RunUntil([&] { return cell.IsOwnerReady(); }, Millis(10'000)));
+    cell.StartNode(1);
+    cell.RunFor(Millis(3'000));
+    const std::string job = SubmitUntilOneMoves(cell);
+    REQUIRE(!job.empty());
+    cell.RunFor(Millis(2'000));
+    REQUIRE(cell.Owner(0) == 0);
+    REQUIRE(cell.Owner(1) == 0);
+    cell.SetFrozen(0, true);
+    const auto answer = cell.CallOnce(1, cell::RequestKind::kStatus, job);
+    cell.RunFor(Millis(900));
+    cell.SetFrozen(0, false);
+    cell.RunFor(kCallerTimeout);
+    CHECK(IsState(answer));
+  });
+}
