Let a moved job's second owner be reached through other entries at once

Callers got no answer about any job that had moved at an entry that reaches neither the owner of its home cell nor that of the cell it moved to, though other entries reach both.

Another entry passes the request to the home's owner, which names the cell. The interval is meant for one owner; it now begins again with the cell that the job moved to. A request goes through at most one other entry in each cell, as before.

The test cuts an entry from the owner of both cells.

--- a/src/libs/cell/request_forwarder.cc
+++ b/src/libs/cell/request_forwarder.cc
@@ -134,6 +134,8 @@
       search.cell_started = Now();
       search.tried_owner.clear();
       search.used_relays.clear();
+      // The interval is between attempts to reach the same owner.
+      search.relayed_at.reset();
       continue;
     }
     if (reply.kind == ReplyKind::kInDoubt) search.in_doubt = true;
--- a/tests/sim/job_state_test.cc
+++ b/tests/sim/job_state_test.cc
@@ -195,6 +195,24 @@
   return "";
 }
 
+/// Starts two cells that the first node owns both, and returns a job whose home
+/// is the first cell and that was moved to the other.
+static std::string StartWithMovedJob(SimulatedCell& cell) {
+  for (int node = 1; node < cell.NodeCount(); ++node) cell.KillNode(node);
+  cell.ListVm(cell.StartVm("vm0", 100, 0), kNoDelay);
+  for (int vm = 1; vm < 4; ++vm)
+    cell.ListVm(cell.StartVm("vm" + std::to_string(vm), 100, 1), kNoDelay);
+  REQUIRE(cell.RunUntil([&] { return cell.IsOwnerReady(); }, Millis(10'000)));
+  for (int node = 1; node < cell.NodeCount(); ++node) cell.StartNode(node);
+  cell.RunFor(Millis(3'000));
+  const std::string job = SubmitUntilOneMoves(cell);
+  REQUIRE(!job.empty());
+  cell.RunFor(Millis(2'000));
+  REQUIRE(cell.Owner(0) == 0);
+  REQUIRE(cell.Owner(1) == 0);
+  return job;
+}
+
 /// Guards against a refusal without any attempt at the cell that a job moved to
 /// once the owner of its home cell has taken longer than the search for an
 /// owner may take.
@@ -202,19 +220,7 @@
   ForEachSeed(20, [](std::uint64_t seed) {
     CAPTURE(seed);
     SimulatedCell cell(seed, /*nodes=*/2, /*cells=*/2);
-    // One node owns both cells.
-    cell.KillNode(1);
-    cell.ListVm(cell.StartVm("vm0", 100, 0), kNoDelay);
-    for (int vm = 1; vm < 4; ++vm)
-      cell.ListVm(cell.StartVm("vm" + std::to_string(vm), 100, 1), kNoDelay);
-    REQUIRE(cell.RunUntil([&] { return cell.IsOwnerReady(); }, Millis(10'000)));
-    cell.StartNode(1);
-    cell.RunFor(Millis(3'000));
-    const std::string job = SubmitUntilOneMoves(cell);
-    REQUIRE(!job.empty());
-    cell.RunFor(Millis(2'000));
-    REQUIRE(cell.Owner(0) == 0);
-    REQUIRE(cell.Owner(1) == 0);
+    const std::string job = StartWithMovedJob(cell);
     cell.SetFrozen(0, true);
     const auto answer = cell.CallOnce(1, cell::RequestKind::kStatus, job);
     cell.RunFor(Millis(900));
@@ -223,3 +229,21 @@
     CHECK(IsState(answer));
   });
 }
+
+/// Guards against requests that reach the home cell of a moved job through
+/// another entry and then wait for a silent owner of the cell that has it.
+TEST_CASE("the state of a moved job is told while its owners are cut off") {
+  ForEachSeed(20, [](std::uint64_t seed) {
+    CAPTURE(seed);
+    SimulatedCell cell(seed, /*nodes=*/4, /*cells=*/2);
+    const std::string job = StartWithMovedJob(cell);
+    cell.SetPairCut(1, 0, true);
+    // By the second request it is known that the owners do not answer.
+    for (int i = 0; i < 2; ++i) {
+      CAPTURE(i);
+      const auto answer = cell.CallOnce(1, cell::RequestKind::kStatus, job);
+      cell.RunFor(kCallerTimeout);
+      CHECK(IsState(answer));
+    }
+  });
+}
