Give a queue count one time limit for all cells

A caller that asks for the number of a queue's waiting jobs could wait far longer than its limit, and its request stayed open long into a stop.

Cause: the cells' owners are asked one after the other, each with the caller's whole limit.

Change: what is left of the limit is given to the next cell.

Test: three cells whose owners answer after 0.5 s, a limit of 1 s.

--- a/src/libs/cell/node_requests.cc
+++ b/src/libs/cell/node_requests.cc
@@ -204,9 +204,11 @@
 }
 
 net::asio::awaitable<JobReply> Node::CountAllCells(JobRequest request) {
+  const Millis deadline = clock_.Monotonic() + Millis(request.timeout_ms);
   JobReply sum{ReplyKind::kCount};
   for (int cell = 0; cell < layout_.cells; ++cell) {
     request.cell = cell;
+    request.timeout_ms = (deadline - clock_.Monotonic()).count;
     const JobReply reply = co_await forwarder_.Forward(request);
     if (reply.kind != ReplyKind::kCount) co_return reply;
     sum.count += reply.count;
