Take no cells once an entry stops

An entry that got SIGTERM before it had read the layout joined the cells afterwards, claimed vacant ones, became their owner and exited without handing them over. Their callers were refused until the owner time-out had passed.

Cause: a stop tells the cells to leave that are known at that time. The layout that is read later makes new ones.

Change: the layout is not taken while the entry leaves, and requests are refused as before it is read.

Seen first in a test that stops 8 starting entries: one that had got SIGTERM 0.7 s earlier became the owner of the only cell.

--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -82,6 +82,8 @@
 
 void Node::OnLayout(const KeyedRecord& record) {
   if (record.key != kLayoutKey || layout_.cells > 0) return;
+  // An entry that leaves would not hand over cells that it takes now.
+  if (leaving_) return;
   const auto decoded = records::Decode<Layout>(record.value);
   if (!IsOk(decoded) || ValueOf(decoded).cells <= 0) {
     kLog.Error(
--- a/tests/system/termination_signals_test.cc
+++ b/tests/system/termination_signals_test.cc
@@ -144,3 +144,18 @@
     CHECK(deployment.WaitForExit(entry) == 0);
   }
 }
+
+TEST_CASE("an entry that stops before it has read the layout takes cells") {
+  PlatformDeployment deployment(1, 2, /*cells=*/2);
+  deployment.WaitUntilReady();
+  deployment.Signal(0, SIGTERM);
+  REQUIRE(deployment.WaitForExit(0) == 0);
+  deployment.store.unavailable = true;
+  deployment.StartEntry(0);
+  while (deployment.Call(0, "GET", "/q/") == 0) Sleep(Millis(10));
+  deployment.Signal(0, SIGTERM);
+  Sleep(Millis(100));
+  deployment.store.unavailable = false;
+  CHECK(deployment.WaitForExit(0) == 0);
+  CHECK(deployment.CountInLogs("event=owner_ready") == 0);
+}
