Refuse no request at the start of a change because of an earlier one

A caller got 503 after 0.7 s about an accepted job at an entry that had started some seconds before, though the next owner of the cell was ready within 2.5 s of the loss of the last one, in the caller's time.

An entry that reads of an owner takes this for the begin of a change, which ends once the owner serves it. An entry that owns no cell probes one owner a second, so with ten cells it may not have called this one for ten seconds. The next loss of the owner then counted as the same change, overdue for long, or as an owner that renews and is unreachable; either refuses at once.

A change now begins anew if the owner was not missed for longer than a change takes. An owner that stays unreachable is missed by probes each 0.2 to 1 s while requests come, so requests are still refused early there.

--- a/src/libs/cell/owner_outlook.cc
+++ b/src/libs/cell/owner_outlook.cc
@@ -11,6 +11,9 @@
 static constexpr int kTellingRenewals = 2;
 
 void OwnerOutlook::OnOwnerMissing(Millis now) {
+  const bool was_missed = noted_at_ && now - *noted_at_ < kMaxChange;
+  if (!was_missed) OnOwnerServed();
+  noted_at_ = now;
   if (!missing_since_) missing_since_ = now;
   missed_since_renewal_ = renewals_ >= kTellingRenewals;
 }
@@ -25,7 +28,7 @@
 }
 
 void OwnerOutlook::OnOwnerChanged(Millis now) {
-  missing_since_ = now;
+  missing_since_ = noted_at_ = now;
   OnOwnerTakingOver();
 }
 
--- a/src/libs/cell/owner_outlook.h
+++ b/src/libs/cell/owner_outlook.h
@@ -15,7 +15,9 @@
 /// Thread safety: one thread at a time.
 class OwnerOutlook {
  public:
-  /// The known owner doesn't serve, or none is known.
+  /// The known owner doesn't serve, or none is known. If that is the first time
+  /// for longer than a change of owner takes, a new change begins: an earlier
+  /// one has ended unnoticed if nobody has called the owner since.
   void OnOwnerMissing(Millis now);
   /// An owner has answered as such.
   void OnOwnerServed();
@@ -40,7 +42,8 @@
 
  private:
   std::optional<Millis> missing_since_;
-  int renewals_ = 0;  ///< Since the owner was missed.
+  std::optional<Millis> noted_at_;  ///< When it was missed or changed last.
+  int renewals_ = 0;                ///< Since the owner was missed.
   bool missed_since_renewal_ = false;
 };
 
--- a/tests/auto/cell/owner_outlook_test.cc
+++ b/tests/auto/cell/owner_outlook_test.cc
@@ -39,3 +39,18 @@
   outlook.OnOwnerTakingOver();
   CHECK(outlook.IsChanging(kStart + Millis(2'000)));
 }
+
+/// Guards against requests that are refused at the start of a change of owner
+/// because an earlier change, after which nobody asked, counts as its start.
+TEST_CASE("a change of owner that nobody missed says nothing of the next one") {
+  OwnerOutlook outlook;
+  outlook.OnOwnerChanged(kStart);
+  outlook.OnOwnerRenewed();
+  outlook.OnOwnerRenewed();
+  const Millis missed = kStart + Millis(10'000);
+  outlook.OnOwnerMissing(missed);
+  CHECK(outlook.IsChanging(missed));
+  CHECK(outlook.IsChanging(missed + kChange));
+  CHECK(outlook.ExpectedIn(missed) > Millis(2'000));
+  CHECK(!outlook.IsChanging(missed + Millis(3'000)));
+}
--- a/tests/sim/job_state_test.cc
+++ b/tests/sim/job_state_test.cc
@@ -247,3 +247,49 @@
     }
   });
 }
+
+/// An entry that has just started reads who owns a job's cell, and calls no
+/// owner of a cell before the machine of that one is lost. Returns its answer
+/// to a request for the job's state; null if no owner is ready 2.5 s later.
+static SimulatedCell::Answer AskWhenOwnerIsLost(SimulatedCell& cell,
+                                                Millis waited) {
+  for (int vm = 0; vm < kVms; ++vm)
+    cell.ListVm(cell.StartVm("vm" + std::to_string(vm)), kNoDelay);
+  REQUIRE(cell.RunUntil([&] { return cell.IsOwnerReady(); }, Millis(10'000)));
+  cell.RunFor(Millis(2'000));
+  const int entry = 0;
+  cell.KillNode(entry);
+  REQUIRE(cell.RunUntil([&] { return cell.IsOwnerReady(); }, Millis(10'000)));
+  cell.Submit("job", MakeJob(1, Millis(60'000)));
+  cell.RunFor(Millis(5'000));
+  cell.StartNode(entry);
+  // It probes one owner a second.
+  cell.RunFor(Millis(5'500));
+  const int owner = cell.Owner(CellOfJob("job", cell.CellCount()));
+  REQUIRE(owner != entry);
+  cell.Faults(owner).peers_cut = true;
+  cell.KillNode(owner);
+  auto answer = cell.CallOnce(entry, cell::RequestKind::kStatus, "job");
+  const Millis ready_within(2'500);
+  const bool in_time =
+      cell.RunUntil([&] { return cell.IsOwnerReady(); }, ready_within);
+  cell.RunUntil([&] { return answer->has_value(); }, waited - ready_within);
+  return in_time ? answer : nullptr;
+}
+
+/// Guards against requests that are refused during a change of owner which
+/// ends within their time, at an entry that has read of the owner but has never
+/// called it.
+TEST_CASE("an entry that has never called the owner waits for the next one") {
+  int served_in_time = 0;
+  ForEachSeed(20, [&](std::uint64_t seed) {
+    CAPTURE(seed);
+    SimulatedCell cell(seed, kNodes, /*cells=*/10);
+    const auto answer = AskWhenOwnerIsLost(cell, Millis(2'700));
+    if (!answer) return;
+    ++served_in_time;
+    // It may still wait.
+    CHECK((!answer->has_value() || IsState(answer)));
+  });
+  CHECK(served_in_time > 0);
+}
