Stand-ins notice starts that break a promise; callers notice cut requests

The worker stand-in had a flag for runs beyond the VM's capacity that nothing set. It now reports each start beyond the capacity, beside another run of the task, and after an end that was acknowledged. The store stand-in can be slow. CallerConnection gives up 1 s after the limit instead of waiting without end, and tells how long after its last request a connection ended. PlatformDeployment keeps a log for each process that it starts, so that a restart does not overwrite the one before, and can run the program of another build.

--- a/tests/standins/store_standin.cc
+++ b/tests/standins/store_standin.cc
@@ -45,6 +45,7 @@
 
 net::asio::awaitable<net::HttpResponse> StoreStandin::HandleRequest(
     net::HttpRequest request) {
+  if (delay_ms > 0) co_await net::Sleep(Millis(delay_ms));
   if (unavailable) co_return MakeJsonResponse(503, Json::object());
   const Query query = ParseQuery(request.target);
   const std::string topic = query.TextParameter("topic");
--- a/tests/standins/store_standin.h
+++ b/tests/standins/store_standin.h
@@ -31,6 +31,8 @@
 
   /// Answers all requests with status 503.
   std::atomic<bool> unavailable = false;
+  /// Delay of each call, in ms.
+  std::atomic<int> delay_ms = 0;
   /// Appends records, but responds only after the client has timed out.
   std::atomic<bool> drop_append_responses = false;
   /// Answers reads of existing records with status 410, as if expired; reads of
--- a/tests/standins/worker_standin.cc
+++ b/tests/standins/worker_standin.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace basilspur::standins {
 
@@ -31,11 +32,13 @@
 void WorkerStandin::EndRun(const std::string& task, const std::string& result) {
   const auto found = running_.find(task);
   if (found == running_.end()) return;
-  ended_.push_back(
-      {++last_end_sequence_, task, found->second.run_number, result});
+  TaskHistory& history = histories_[task];
+  ended_.push_back({++last_end_sequence_, task, found->second.run_number,
+                    result, lease_losses_, history.starts_accepted});
   int& highest_run = highest_ended_run_[task];
   highest_run = std::max(highest_run, found->second.run_number);
-  if (result == "done") ++histories_[task].runs_done;
+  if (result == "done") ++history.runs_done;
+  history.runs_on = nullptr;
   running_.erase(found);
 }
 
@@ -68,6 +71,47 @@
   co_return MakeReply(200, "");
 }
 
+void WorkerStandin::CheckStart(const std::string& task, int cpu_millis) {
+  TaskHistory& history = histories_[task];
+  // The other worker learns of the end of its lease with the next request only.
+  if (history.runs_on) history.runs_on->EndDueRuns();
+  if (history.runs_on) {
+    violations.push_back(task + " starts on " + id_ + " while it runs on " +
+                         history.runs_on->id_);
+  }
+  if (history.done_acknowledged) {
+    violations.push_back(task + " starts on " + id_ +
+                         " after its end was acknowledged");
+  }
+  int used = cpu_millis;
+  for (const auto& [other, run] : running_) used += run.cpu_millis;
+  if (used > kCpuMillis) {
+    violations.push_back(task + " starts on " + id_ + " with " +
+                         std::to_string(used) + " cpu millis in use");
+  }
+}
+
+void WorkerStandin::ExtendLease(std::int64_t deadline_ms) {
+  if (Now().count > deadline_ms_) ++lease_losses_;
+  deadline_ms_ = std::max(deadline_ms_, deadline_ms);
+}
+
+void WorkerStandin::AcknowledgeEnds(std::int64_t last_seen) {
+  std::erase_if(ended_, [&](const EndedRun& end) {
+    if (end.sequence > last_seen) return false;
+    // An end that was not read before the lease was lost may have been
+    // replaced by another run.
+    if (end.result != "done" || end.lease_losses != lease_losses_) return true;
+    TaskHistory& history = histories_[end.task];
+    history.done_acknowledged = true;
+    if (history.starts_accepted > end.starts) {
+      violations.push_back(end.task + " has started again after an end on " +
+                           id_ + " that was acknowledged");
+    }
+    return true;
+  });
+}
+
 net::HttpResponse WorkerStandin::Start(const std::string& body) {
   const Json command = Json::parse(body);
   const auto task = command.at("task").get<std::string>();
@@ -76,7 +120,7 @@
     return MakeReply(409, "fence");
   }
   const auto deadline = command.at("deadline_ms").get<std::int64_t>();
-  deadline_ms_ = std::max(deadline_ms_, deadline);
+  ExtendLease(deadline);
   const auto found = running_.find(task);
   if (found != running_.end() && found->second.run_number == run_number) {
     return MakeReply(200, "");
@@ -87,9 +131,14 @@
   if (deadline <= Now().count) return MakeReply(409, "late");
   const auto payload = command.at("spec").get<std::string>();
   const bool fails = payload == "fail";
-  const Millis work_time(fails ? 1 : std::stoll(payload));
-  running_[task] = {run_number, Now() + work_time, fails};
+  std::istringstream numbers(fails ? "1" : payload);
+  Millis work_time;
+  int cpu_millis = 0;
+  numbers >> work_time.count >> cpu_millis;
+  CheckStart(task, cpu_millis);
+  running_[task] = {run_number, Now() + work_time, fails, cpu_millis};
   ++histories_[task].starts_accepted;
+  histories_[task].runs_on = this;
   return MakeReply(200, "");
 }
 
@@ -111,11 +160,8 @@
   if (IsStale(command.at("fence").get<std::int64_t>())) {
     co_return MakeReply(409, "fence");
   }
-  deadline_ms_ = std::max(deadline_ms_, command.value("deadline_ms", 0L));
-  const std::int64_t acknowledged = command.at("last_seen").get<std::int64_t>();
-  std::erase_if(ended_, [&](const EndedRun& end) {
-    return end.sequence <= acknowledged;
-  });
+  ExtendLease(command.value("deadline_ms", 0L));
+  AcknowledgeEnds(command.at("last_seen").get<std::int64_t>());
   Millis remaining_wait(command.value("wait_ms", 0L));
   for (EndDueRuns(); ended_.empty() && remaining_wait > Millis(0);
        EndDueRuns()) {
--- a/tests/standins/worker_standin.h
+++ b/tests/standins/worker_standin.h
@@ -14,15 +14,19 @@
 
 namespace basilspur::standins {
 
+class WorkerStandin;
+
 /// Counts the runs of one task on all workers, for checks in tests.
 struct TaskHistory {
   int starts_accepted = 0;
   int runs_done = 0;
+  bool done_acknowledged = false;
+  WorkerStandin* runs_on = nullptr;  ///< Null while no run is known.
 };
 
 /// Stand-in for an executor of the users' platform on one VM, which runs tasks
 /// under a lease. A task's payload is its duration in ms, or "fail" for a task
-/// that fails.
+/// that fails; a second number is the task's share of the VM's cpu.
 ///
 /// Thread safety: only on the thread of its io_context; the atomic members on
 /// any thread.
@@ -36,9 +40,13 @@
   net::asio::awaitable<net::HttpResponse> HandleRequest(
       net::HttpRequest request);
 
-  /// Meant for runs beyond the VM's capacity and for two runs of a task at
-  /// once; nothing sets or reads it.
-  bool violated_limits = false;
+  /// Capacity of the VM, in thousandths of a core.
+  static constexpr int kCpuMillis = 4'000;
+
+  /// One line for each start beyond the VM's capacity, beside another run of
+  /// the same task, or of a task whose end was acknowledged. Copies of tasks
+  /// (`speculative`) are not told apart.
+  std::vector<std::string> violations;
   /// Starts runs, but responds only after the client has timed out.
   std::atomic<bool> drop_start_responses = false;
 
@@ -47,12 +55,15 @@
     int run_number = 0;
     Millis ends_at;
     bool fails = false;
+    int cpu_millis = 0;
   };
   struct EndedRun {
     std::int64_t sequence = 0;  ///< Rises from 1, in the order of ends.
     std::string task;
     int run_number = 0;
     std::string result;
+    int lease_losses = 0;  ///< lease_losses_ when the run ended.
+    int starts = 0;        ///< Of the task, when the run ended.
   };
 
   Millis Now() const { return clock_.Monotonic(); }
@@ -60,6 +71,12 @@
   void EndDueRuns();
   /// Does nothing if the task is not running.
   void EndRun(const std::string& task, const std::string& result);
+  /// Notes what the start of a run with this payload violates.
+  void CheckStart(const std::string& task, int cpu_millis);
+  /// Extends the lease; counts it as lost before if it had expired.
+  void ExtendLease(std::int64_t deadline_ms);
+  /// Removes the ends up to this number.
+  void AcknowledgeEnds(std::int64_t last_seen);
   // Handlers of one kind of request each; `body` is its JSON.
   net::HttpResponse Start(const std::string& body);
   net::HttpResponse Stop(const std::string& body);
@@ -73,6 +90,7 @@
   SystemClock clock_;
   std::int64_t highest_token_ = 0;
   std::int64_t deadline_ms_ = 0;
+  int lease_losses_ = 0;
   std::int64_t last_end_sequence_ = 0;
   std::map<std::string, ActiveRun> running_;
   std::map<std::string, int> highest_ended_run_;
--- a/tests/system/caller_connection.cc
+++ b/tests/system/caller_connection.cc
@@ -9,6 +9,9 @@
 
 namespace http = boost::beast::http;
 
+/// Time for an answer that the entry sends at the end of the limit.
+static constexpr Millis kAnswerSlack(1'000);
+
 CallerConnection::CallerConnection(const std::string& address)
     : socket_(context_) {
   const net::Address parsed = ValueOf(net::ParseAddress(address));
@@ -26,11 +29,32 @@
   request.prepare_payload();
   net::error_code failure;
   http::write(socket_, request, failure);
-  if (failure) return 0;
+  const Millis sent_at = clock_.Monotonic();
+  ended_after_.reset();
+  if (failure) {
+    ended_after_ = Millis(0);
+    return 0;
+  }
   boost::beast::flat_buffer buffer;
   http::response<http::string_body> response;
-  http::read(socket_, buffer, response, failure);
-  if (failure) return 0;
+  bool ended = false;
+  http::async_read(socket_, buffer, response,
+                   [&](const net::error_code& error, std::size_t) {
+                     failure = error;
+                     ended = true;
+                   });
+  context_.restart();
+  const Millis timeout = limit + kAnswerSlack;
+  context_.run_for(std::chrono::milliseconds(timeout.count));
+  if (!ended) {
+    socket_.close();
+    context_.run();
+    return 0;
+  }
+  if (failure) {
+    ended_after_ = clock_.Monotonic() - sent_at;
+    return 0;
+  }
   closing_ = !response.keep_alive();
   return response.result_int();
 }
--- a/tests/system/caller_connection.h
+++ b/tests/system/caller_connection.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPUR_TESTS_SYSTEM_CALLER_CONNECTION_H_
 #define BASILSPUR_TESTS_SYSTEM_CALLER_CONNECTION_H_
 
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -18,17 +19,23 @@
   explicit CallerConnection(const std::string& address);
 
   /// Returns the HTTP status; 0 if the connection ends without a whole
-  /// response. The entry is told to answer within `limit`.
+  /// response, or if there is none 1 s after `limit`. The entry is told to
+  /// answer within `limit`. Precondition: the last call returned a status.
   unsigned Call(const std::string& method, const std::string& path,
                 const std::string& body = "", Millis limit = Millis(3'000));
   /// Whether the last response has announced that the entry closes the
   /// connection.
   bool IsClosing() const { return closing_; }
+  /// How long after the last byte of the last request the connection ended;
+  /// nothing if it has not ended.
+  std::optional<Millis> EndedAfter() const { return ended_after_; }
 
  private:
   net::asio::io_context context_;
   net::asio::ip::tcp::socket socket_;
+  SystemClock clock_;
   bool closing_ = false;
+  std::optional<Millis> ended_after_;
 };
 
 }  // namespace basilspur::system_test
--- a/tests/system/platform_deployment.cc
+++ b/tests/system/platform_deployment.cc
@@ -24,16 +24,19 @@
 static constexpr int kMaxPolls = 500;
 
 static std::string MakeTemporaryFolder() {
-  std::string path = "/tmp/basilspur-platform-XXXXXX";
+  const char* parent = std::getenv("TMPDIR");
+  std::string path = parent ? parent : "/tmp";
+  path += "/basilspur-platform-XXXXXX";
   if (!mkdtemp(path.data()))
-    throw std::runtime_error("cannot create a folder in /tmp");
+    throw std::runtime_error("cannot create the folder " + path);
   return path;
 }
 
 PlatformDeployment::PlatformDeployment(int entries, int workers, int cells)
     : cells_(cells),
       temporary_folder_(MakeTemporaryFolder()),
-      entries_(entries) {
+      entries_(entries),
+      starts_(entries) {
   store_address_ = fakes::FreeAddress();
   net::ServeHttp(context_, store_address_, [this](net::HttpRequest request) {
     return store.HandleRequest(std::move(request));
@@ -85,13 +88,21 @@
         {"service", "s"},
         {"address", worker_addresses_[i]},
         {"state", "ready"},
-        {"room", {{"cpu", 4'000}, {"mem_mb", 8'000}}},
+        {"room",
+         {{"cpu", standins::WorkerStandin::kCpuMillis}, {"mem_mb", 8'000}}},
         {"labels", {"a", RackOf(static_cast<int>(i) % cells_)}}};
     store.Put("keyed.servers", "i-" + std::to_string(i), entry.dump());
   }
   store.Put("keyed.servers", "i-other", "an entry in another format");
 }
 
+/// BASILSPUR_NODE names a program of another build, so that the same test runs
+/// against an earlier version.
+static std::string ProgramPath() {
+  const char* path = std::getenv("BASILSPUR_NODE");
+  return path ? path : BASILSPUR_BIN "/basilspur-node";
+}
+
 void PlatformDeployment::StartEntry(int entry) {
   const Addresses& addresses = addresses_[entry];
   const std::string name =
@@ -105,10 +116,19 @@
            << addresses.readiness << "\"\n[platform]\naddress = \""
            << store_address_ << "\"\n[bounds]\ngrace_s = 4\n";
   settings.close();
+  ++starts_[entry];
   entries_[entry] = std::make_unique<Process>(
-      std::vector<std::string>{BASILSPUR_BIN "/basilspur-node", "--boot",
-                               name + ".toml"},
-      name + ".log");
+      std::vector<std::string>{ProgramPath(), "--boot", name + ".toml"},
+      LogPath(entry));
+}
+
+void PlatformDeployment::RunOnStandins(const std::function<void()>& function) {
+  std::promise<void> done;
+  net::asio::post(context_, [&] {
+    function();
+    done.set_value();
+  });
+  done.get_future().wait();
 }
 
 static Result<net::HttpResponse> CallOnce(const std::string& address,
@@ -190,9 +210,13 @@
   return false;
 }
 
+std::string PlatformDeployment::LogPath(int entry) const {
+  return temporary_folder_ + "/entry-" + std::to_string(entry) + "." +
+         std::to_string(starts_[entry]) + ".log";
+}
+
 std::string PlatformDeployment::ReadLog(int entry) const {
-  std::ifstream file(temporary_folder_ + "/entry-" + std::to_string(entry) +
-                     ".log");
+  std::ifstream file(LogPath(entry));
   std::stringstream text;
   text << file.rdbuf();
   return text.str();
--- a/tests/system/platform_deployment.h
+++ b/tests/system/platform_deployment.h
@@ -1,8 +1,10 @@
 #ifndef BASILSPUR_TESTS_SYSTEM_PLATFORM_DEPLOYMENT_H_
 #define BASILSPUR_TESTS_SYSTEM_PLATFORM_DEPLOYMENT_H_
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,6 +28,12 @@
   void StartEntry(int entry);
   void Signal(int entry, int signal) { entries_[entry]->Signal(signal); }
   int WaitForExit(int entry) { return entries_[entry]->Wait(); }
+  /// See Process::TryWait.
+  std::optional<int> TryWaitForExit(int entry) {
+    return entries_[entry]->TryWait();
+  }
+  /// What the operating system says of a process that runs.
+  std::string ProcessState(int entry) { return entries_[entry]->State(); }
   bool IsReady(int entry);
   /// Throws if not all entries are ready within 10 s.
   void WaitUntilReady();
@@ -49,8 +57,14 @@
   /// The first entry that owns a cell according to its log; -1 if there is
   /// none.
   int FindOwner();
-  /// How often `text` occurs in the logs of all entries.
+  /// How often `text` occurs in the logs of all entries since their last
+  /// starts.
   int CountInLogs(const std::string& text) const;
+  /// Holds the log of each process that was started, one file each. It stays
+  /// after the destruction, unless the caller removes it.
+  const std::string& LogFolder() const { return temporary_folder_; }
+  /// Runs a function on the thread of the stand-ins and waits for its end.
+  void RunOnStandins(const std::function<void()>& function);
 
   standins::StoreStandin store;
   std::vector<std::unique_ptr<standins::WorkerStandin>> workers;
@@ -59,6 +73,7 @@
  private:
   void PublishWorkerEntries();
   void PublishLayout();
+  std::string LogPath(int entry) const;
   std::string ReadLog(int entry) const;
 
   int cells_;
@@ -73,6 +88,7 @@
   };
   std::vector<Addresses> addresses_;
   std::vector<std::unique_ptr<Process>> entries_;
+  std::vector<int> starts_;  ///< By entry.
   std::thread thread_;
 };
 
--- a/tests/system/process.cc
+++ b/tests/system/process.cc
@@ -48,6 +48,21 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+std::string Process::State() const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  std::string line;
+  while (std::getline(status, line) && !line.starts_with("State:")) {
+  }
+  return line;
+}
+
+std::optional<int> Process::TryWait() {
+  int status = 0;
+  if (waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
+  reaped_ = true;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
 ProcessResult RunProgram(const std::vector<std::string>& command,
                          const std::string& output_file) {
   Process process(command, output_file);
--- a/tests/system/process.h
+++ b/tests/system/process.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,12 @@
   /// Waits until the process ends. Returns its exit code, or -1 if it was ended
   /// by a signal.
   int Wait();
+  /// The operating system's line on the state of the process, such as
+  /// "State: S (sleeping)". Precondition: as TryWait().
+  std::string State() const;
+  /// As Wait(), but returns nothing while the process runs. Precondition: the
+  /// end has not been returned yet.
+  std::optional<int> TryWait();
 
  private:
   pid_t pid_ = -1;
