Take in nothing new while an owner hands its cell over

Change: a draining owner leaves these to the next one. Reports are dropped and their ends stay unacknowledged; cancels of jobs that have not ended are answered as by a non-owner; reports of delegated tasks and answers about moved jobs are ignored, and are repeated to the next owner. Outcomes of commands that were sent are still taken in, and leases are renewed each 300 ms. The drain writes what was taken in before and ends.

Measured: on the code before, "an owner hands its cell over while its VMs go on to report ends" fails three times of three (after 300 ms the owner still exists, nothing vacant is stored), and so does "an owner that hands its cell over leaves cancels to the next one" (the reply was 11, cancelled, not 13, not the owner). "An owner goes on to renew leases while it drains" passes before and after. Not measured on a deployment.

--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -128,7 +128,7 @@
     kLog.Info("event=vm_draining vm=" + listing.id + LogFields());
   }
   scheduler_.UpsertVm(listing, Now());
-  if (!ready_ || !renewing_vms_.insert(listing.id).second) return;
+  if (!ready_ || draining_ || !renewing_vms_.insert(listing.id).second) return;
   StartRenewals(listing.id);
 }
 
@@ -157,7 +157,7 @@
   batch_durable_.NotifyAll();
   SchedulePlan();
   SyncDelegations();
-  if (ready_ &&
+  if (ready_ && !draining_ &&
       Now() - last_moved_job_check_ >= settings_.moved_job_check_interval) {
     last_moved_job_check_ = Now();
     net::Spawn(context_, CheckMovedJob(shared_from_this()), "moved_job_check");
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -145,8 +145,10 @@
   net::asio::awaitable<DelegationReply> HandleDelegation(
       jobs::Delegation delegation);
 
-  /// Stops scheduling and accepting jobs, and waits up to `timeout` until the
-  /// journal holds all changes. Returns whether it then lists every run.
+  /// Takes in nothing new from now on: no jobs, cancels, delegations or reports
+  /// of VMs, all of which come again to the next owner. Leases are renewed.
+  /// Waits up to `timeout` until the journal holds all changes made so far.
+  /// Returns whether it then lists every run.
   net::asio::awaitable<bool> Drain(Millis timeout);
   void Stop();
   bool IsReady() const { return ready_; }
--- a/src/libs/cell/cell_owner_delegations.cc
+++ b/src/libs/cell/cell_owner_delegations.cc
@@ -80,7 +80,8 @@
   const std::string job = request.delegation.job;
   const DelegationReply reply =
       co_await callbacks_.send_delegation(std::move(request));
-  if (stopped_ || !reply.served) co_return;
+  // The host repeats its report to the next owner.
+  if (stopped_ || draining_ || !reply.served) co_return;
   scheduler_.OnDelegationReport(job, host, reply.report, Now());
   for (const jobs::DelegatedTaskReport& row : reply.report.tasks) {
     if (row.state != jobs::DelegationState::kReturned) continue;
--- a/src/libs/cell/cell_owner_requests.cc
+++ b/src/libs/cell/cell_owner_requests.cc
@@ -126,7 +126,7 @@
   request.timeout_ms = kMovedJobCheckTimeoutMs;
   const JobReply reply =
       co_await callbacks_.forward_request(std::move(request));
-  if (stopped_ || reply.kind != ReplyKind::kNoSuchJob) co_return;
+  if (stopped_ || draining_ || reply.kind != ReplyKind::kNoSuchJob) co_return;
   scheduler_.Moved().Remove(*job);
   batch_pending_.NotifyAll();
 }
@@ -137,6 +137,8 @@
                                                     : ReplyKind::kNotOwner,
                        0};
   }
+  if (draining_ && !scheduler_.IsEnded(request.job))
+    co_return JobReply{ReplyKind::kNotOwner};
   scheduler_.Cancel(request.job, clock_.Wall().count);
   SchedulePlan();
   batch_pending_.NotifyAll();
--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -8,6 +8,8 @@
 
 static constexpr LogCategory kLog("cell");
 static constexpr Millis kDurableEndsTimeout(300);
+/// A VM with ends that are not acknowledged answers each renewal at once.
+static constexpr Millis kDrainingRenewalInterval(300);
 
 net::asio::awaitable<void> CellOwner::SendCommand(jobs::RunCommand command) {
   const auto self = shared_from_this();
@@ -114,6 +116,11 @@
             " runs=" + std::to_string(report.running.size()));
 }
 
+static bool IsStale(const RenewalAnswer& answer) {
+  const auto* failure = std::get_if<RenewalFailure>(&answer);
+  return failure && *failure == RenewalFailure::kStaleToken;
+}
+
 net::asio::awaitable<bool> CellOwner::RenewOnce(const jobs::VmListing& vm) {
   if (!CheckMayAct()) co_return false;
   const Millis sent = Now();
@@ -125,6 +132,11 @@
   if (renewal.deadline_ms == 0) renewal.max_wait = Millis(0);
   const RenewalAnswer answer = co_await vm_client_.Renew(vm, renewal);
   if (stopped_) co_return false;
+  if (draining_ && !IsStale(answer)) {
+    // Its ends stay unacknowledged, so the VM reports them to the next owner.
+    co_await net::Sleep(kDrainingRenewalInterval);
+    co_return true;
+  }
   if (const auto* report = std::get_if<jobs::VmReport>(&answer)) {
     LogWorkerStart(vm.id, *report);
     LogRunEnds(vm.id, *report);
--- a/tests/auto/cell/cell_member_fixture.cc
+++ b/tests/auto/cell/cell_member_fixture.cc
@@ -13,6 +13,7 @@
   renewals.push_back(renewal);
   // A renewal is a long poll.
   co_await net::Sleep(Millis(1));
+  while (is_held && is_held(vm.id)) co_await net::Sleep(Millis(1));
   if (before_answer) before_answer();
   const auto report = reports.find(vm.id);
   if (report == reports.end()) co_return RenewalFailure::kNoAnswer;
--- a/tests/auto/cell/cell_member_fixture.h
+++ b/tests/auto/cell/cell_member_fixture.h
@@ -26,6 +26,8 @@
 
   std::vector<Renewal> renewals;
   std::vector<jobs::RunCommand> commands;
+  /// Whether the VM does not answer renewals for now. May be empty.
+  std::function<bool(const std::string& vm)> is_held;
   /// Called before each answer to a renewal.
   std::function<void()> before_answer;
   /// The reports of VMs that answer renewals.
--- a/tests/auto/cell/cell_owner_test.cc
+++ b/tests/auto/cell/cell_owner_test.cc
@@ -1,5 +1,6 @@
 #include "cell/cell_owner.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "auto/cell/cell_member_fixture.h"
@@ -52,3 +53,94 @@
   CHECK(fixture.vms.commands.empty());
   CHECK(!fixture.member->Owns());
 }
+
+/// Returns the highest number of a run end that the journal holds.
+static std::int64_t NewestJournaledEnd(CellMemberFixture& fixture) {
+  std::int64_t newest = 0;
+  for (const KeyedRecord& record : fixture.store.Records({"keyed.jobs", 0})) {
+    if (!record.key.starts_with('v')) continue;
+    const auto decoded = records::Decode<jobs::VmRecord>(record.value);
+    newest = std::max(newest, ValueOf(decoded).last_end);
+  }
+  return newest;
+}
+
+/// The drain ran into its limit where runs ended all the time, and the cell was
+/// handed over with an incomplete journal.
+TEST_CASE("an owner hands its cell over while its VMs go on to report ends") {
+  CellMemberFixture fixture;
+  fixture.AddVm("even");
+  fixture.AddVm("odd");
+  // During each append to the journal, one of the VMs reports another end.
+  int appends = 0;
+  fixture.store.producer_append_time = Millis(10);
+  fixture.store.on_append_as = [&] { ++appends; };
+  fixture.vms.is_held = [&](const std::string& vm) {
+    return (appends % 2 == 0) != (vm == "even");
+  };
+  std::int64_t ends = 0;
+  fixture.vms.before_answer = [&] {
+    jobs::EndedRunReport end;
+    end.number = ++ends;
+    end.task.job = kJob;
+    for (auto& [id, report] : fixture.vms.reports) report.ended = {end};
+    CHECK(fixture.vms.renewals.back().acknowledged_end <=
+          NewestJournaledEnd(fixture));
+  };
+  fixture.BecomeOwner();
+  fixture.PumpFor(Millis(200));
+  REQUIRE(fixture.member->Owner());
+  REQUIRE(fixture.member->Owner()->IsReady());
+  net::asio::co_spawn(fixture.context, fixture.member->Leave(),
+                      net::asio::detached);
+  fixture.PumpFor(Millis(300));
+  CHECK(!fixture.member->Owner());
+  CHECK(fixture.NewestRecord().vacant);
+  CHECK(fixture.NewestRecord().journal_complete);
+}
+
+static ReplyKind Ask(CellMemberFixture& fixture, RequestKind kind) {
+  JobRequest request;
+  request.kind = kind;
+  request.job = kJob;
+  ReplyKind reply = ReplyKind::kUnavailable;
+  net::asio::co_spawn(
+      fixture.context,
+      [&]() -> net::asio::awaitable<void> {
+        reply = (co_await fixture.member->Owner()->Handle(request)).kind;
+      },
+      net::asio::detached);
+  fixture.PumpFor(Millis(50));
+  return reply;
+}
+
+/// Each cancel added something to write, and so prolonged the drain.
+TEST_CASE("an owner that hands its cell over leaves cancels to the next one") {
+  CellMemberFixture fixture;
+  fixture.AddJournaledJob(kJob, 0, "");
+  fixture.BecomeOwner();
+  fixture.PumpFor(Millis(50));
+  REQUIRE(fixture.member->Owner());
+  net::asio::co_spawn(fixture.context,
+                      fixture.member->Owner()->Drain(Millis(500)),
+                      net::asio::detached);
+  fixture.PumpFor(Millis(50));
+  CHECK(Ask(fixture, RequestKind::kCancel) == ReplyKind::kNotOwner);
+  // The job's progress record makes it a running one, and it is not cancelled.
+  CHECK(Ask(fixture, RequestKind::kStatus) == ReplyKind::kRunning);
+}
+
+TEST_CASE("an owner goes on to renew leases while it drains") {
+  CellMemberFixture fixture;
+  fixture.AddVm("vm");
+  fixture.BecomeOwner();
+  fixture.PumpFor(Millis(50));
+  REQUIRE(fixture.member->Owner());
+  net::asio::co_spawn(fixture.context,
+                      fixture.member->Owner()->Drain(Millis(500)),
+                      net::asio::detached);
+  fixture.PumpFor(Millis(50));
+  const std::size_t before = fixture.vms.renewals.size();
+  fixture.PumpFor(Millis(700));
+  CHECK(fixture.vms.renewals.size() > before);
+}
--- a/tests/auto/cell/fake_store.cc
+++ b/tests/auto/cell/fake_store.cc
@@ -44,7 +44,10 @@
   }
   epoch = producer.epoch;
   const auto end = static_cast<std::int64_t>(Records(partition).size());
-  co_return Append(partition, end, records);
+  const AppendAnswer answer = Append(partition, end, records);
+  if (producer_append_time > Millis(0))
+    co_await net::Sleep(producer_append_time);
+  co_return answer;
 }
 
 net::asio::awaitable<Result<NewestRecords>> FakeStore::ReadNewest(
--- a/tests/auto/cell/fake_store.h
+++ b/tests/auto/cell/fake_store.h
@@ -48,6 +48,8 @@
   bool append_answers_held = false;
   /// Called before AppendAs is carried out.
   std::function<void()> on_append_as;
+  /// Time between carrying out AppendAs and its answer.
+  Millis producer_append_time{0};
   /// Until this is unset, ReadFrom does not answer.
   bool watchers_cut = false;
   /// Offset below which ReadFrom has lost its history.
