--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -148,7 +148,8 @@
   /// Takes in nothing new from now on: no jobs, cancels, delegations or reports
   /// of VMs, all of which come again to the next owner. Leases are renewed.
   /// Waits up to `timeout` until the journal holds all changes made so far.
-  /// Returns whether it then lists every run.
+  /// Returns whether it then lists every run. An owner that is not ready has
+  /// changed nothing, and returns at once what it was told at its start.
   net::asio::awaitable<bool> Drain(Millis timeout);
   void Stop();
   bool IsReady() const { return ready_; }
--- a/tests/auto/cell/leaving_test.cc
+++ b/tests/auto/cell/leaving_test.cc
@@ -144,3 +144,29 @@
   }
   CHECK(released == 1);
 }
+
+/// Such an owner waited for a journal that it does not write, and its successor
+/// did not start older jobs before it had heard from all VMs.
+TEST_CASE(
+    "an owner that leaves before it is ready passes on what it was told") {
+  const bool journal_complete = GENERATE(false, true);
+  CellMemberFixture fixture;
+  fixture.AddVm("vm");
+  OwnerRecord previous = CellMemberFixture::MakeRecord("b");
+  previous.vacant = true;
+  previous.journal_complete = journal_complete;
+  previous.unreachable_vms = {{"vm", 10'000}};
+  fixture.AppendRecord(previous);
+  fixture.Pump();
+  fixture.store.unreadable_topic = "keyed.jobs";
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owner());
+  REQUIRE(!fixture.member->Owner()->IsReady());
+  CHECK(Leave(fixture, Millis(200)) == true);
+  const OwnerRecord released = fixture.NewestRecord();
+  CHECK(released.node == "a");
+  REQUIRE(released.vacant);
+  CHECK(released.journal_complete == journal_complete);
+  CHECK(released.unreachable_vms.size() == 1);
+  CHECK(fixture.vms.renewals.empty());
+}
