Log slow calls of owners on both sides, and delegations not served

owner_call_slow is the sender's view of a call of 1 s or more, and owner_answer_slow the owner's, from when it has read the request; a line of the sender without one of the owner means that the time passed outside the owner's work. delegation_not_served names the job, the owner and the reason. Counters: requests given up, slow calls of owners, requests answered as the owner, and of these those that came too late for their sender. The lines are bounded like all others.

The counters are checked in the test of an entry that is cut from an owner. The age of a request when it is read is not known to the owner and not logged.

--- a/src/libs/cell/node_requests.cc
+++ b/src/libs/cell/node_requests.cc
@@ -108,18 +108,34 @@
   co_return reply;
 }
 
+static void LogDelegationNotServed(const DelegationRequest& request,
+                                   const std::string& owner,
+                                   const std::string& reason, Millis took) {
+  kLog.Info("event=delegation_not_served reason=\"" + reason +
+            "; sent again later\" cell=" + std::to_string(request.cell) +
+            " job=" + request.delegation.job +
+            " tasks=" + std::to_string(request.delegation.tasks.size()) +
+            " owner=" + owner + " took_ms=" + std::to_string(took.count));
+}
+
 net::asio::awaitable<DelegationReply> Node::SendDelegation(
     DelegationRequest request) {
   const std::shared_ptr<CellMember> member = MemberFor(request.cell);
   if (member->Owner()) co_return co_await HandleDelegation(std::move(request));
   const std::optional<OwnerRecord> owner = member->KnownOwner();
   if (!owner || owner->incarnation == settings_.identity.incarnation) {
+    LogDelegationNotServed(request, "", "no owner is known", Millis(0));
     member->OnOwnerDoubted();
     co_return DelegationReply();
   }
+  const Millis started = clock_.Monotonic();
   const auto reply = co_await PostToPeer<DelegationReply>(
       owner->address, kDelegationPath, EncodeBody(request), kDelegationTimeout);
   if (IsOk(reply) && ValueOf(reply).served) co_return ValueOf(reply);
+  LogDelegationNotServed(request, owner->address,
+                         IsOk(reply) ? "the entry does not serve the cell"
+                                     : ErrorOf(reply).ToString(),
+                         clock_.Monotonic() - started);
   member->OnOwnerDoubted();
   co_return DelegationReply();
 }
--- a/src/libs/cell/request_forwarder.cc
+++ b/src/libs/cell/request_forwarder.cc
@@ -19,6 +19,8 @@
 /// can't be established leaves nothing in doubt.
 static constexpr Millis kCallMargin(20);
 static constexpr std::size_t kMaxRelays = 2;
+/// A call of an owner that takes longer is logged, by both sides.
+static constexpr Millis kSlowCall(1'000);
 /// How soon a read that waits for the last owner is sent to the next one.
 static constexpr Millis kOwnerCheckInterval(50);
 
@@ -132,6 +134,7 @@
       search.started + Millis(request.timeout_ms) - settings_.reply_margin;
   for (;;) {
     if (IsTimedOut(search, request)) {
+      ++counters_.not_served;
       LogNotServed(request, search);
       co_return FinalReply(search, request);
     }
@@ -327,10 +330,12 @@
     Millis timeout) {
   const bool is_relay = !request.relay_for.empty();
   request.timeout_ms = std::max(timeout - kHopMargin, Millis(1)).count;
+  const Millis started = Now();
   const JobReply reply = co_await callbacks_.call_peer(
-      address, std::move(request), std::max(timeout - kCallMargin, Millis(1)));
+      address, request, std::max(timeout - kCallMargin, Millis(1)));
   --attempt->pending;
   if (!is_relay) {
+    NoteOwnerCall(request, address, reply, started);
     attempt->owner_replied = !reply.incarnation.empty();
     NoteOwnerReply(*attempt->member, *attempt->owner, reply);
   }
@@ -346,6 +351,35 @@
   attempt->changed.NotifyAll();
 }
 
+void RequestForwarder::NoteOwnerCall(const JobRequest& request,
+                                     const std::string& address,
+                                     const JobReply& reply, Millis started) {
+  const Millis took = Now() - started;
+  if (took < kSlowCall) return;
+  ++counters_.owner_calls_slow;
+  kLog.Info("event=owner_call_slow job=" + request.job + " request=" +
+            NameOf(request.kind) + " cell=" + std::to_string(request.cell) +
+            " owner=" + address + " took_ms=" + std::to_string(took.count) +
+            " limit_ms=" + std::to_string(request.timeout_ms) +
+            " replied=" + (reply.incarnation.empty() ? "0" : "1"));
+}
+
+net::asio::awaitable<JobReply> RequestForwarder::ServeAsOwner(
+    std::shared_ptr<CellMember> member, JobRequest request) {
+  const Millis started = Now();
+  JobReply reply = co_await member->Owner()->Handle(request);
+  reply.may_be_replaced = !member->IsAuthoritative();
+  const Millis took = Now() - started;
+  ++counters_.answered_as_owner;
+  if (took >= Millis(request.timeout_ms)) ++counters_.answered_too_late;
+  if (took < kSlowCall) co_return reply;
+  kLog.Info("event=owner_answer_slow job=" + request.job + " request=" +
+            NameOf(request.kind) + " cell=" + std::to_string(request.cell) +
+            " took_ms=" + std::to_string(took.count) +
+            " limit_ms=" + std::to_string(request.timeout_ms));
+  co_return reply;
+}
+
 void RequestForwarder::NoteOwnerReply(CellMember& member,
                                       const OwnerRecord& owner,
                                       const JobReply& reply) {
@@ -380,8 +414,7 @@
     member->OnStepDownRequest(request.token);
     reply.kind = ReplyKind::kSteppedDown;
   } else if (member->Owner()) {
-    reply = co_await member->Owner()->Handle(std::move(request));
-    reply.may_be_replaced = !member->IsAuthoritative();
+    reply = co_await ServeAsOwner(member, std::move(request));
   } else if (!request.relay_for.empty() && owner &&
              owner->incarnation != self_.incarnation &&
              owner->address != request.relay_for) {
--- a/src/libs/cell/request_forwarder.h
+++ b/src/libs/cell/request_forwarder.h
@@ -59,6 +59,12 @@
     std::int64_t relays_served = 0;  ///< Those that its owner has answered.
     std::int64_t relays_for_others = 0;
     std::int64_t waited_for_owner = 0;  ///< Not refused: the owner changes.
+    std::int64_t not_served = 0;        ///< Given up: no owner has answered.
+    std::int64_t owner_calls_slow = 0;  ///< Of this entry to an owner.
+    /// Requests of other entries that this one has answered as the owner, and
+    /// those of them whose sender had stopped waiting.
+    std::int64_t answered_as_owner = 0;
+    std::int64_t answered_too_late = 0;
   };
 
   /// Precondition: the references outlive the object, and the object outlives
@@ -101,6 +107,12 @@
   /// since `started` says.
   bool MayRelayHelp(const Attempt& attempt, Millis started) const;
   void LogNotServed(const JobRequest& request, const Search& search) const;
+  /// `started` is when the owner was called.
+  void NoteOwnerCall(const JobRequest& request, const std::string& address,
+                     const JobReply& reply, Millis started);
+  /// Serves a request of another entry as the owner of its cell.
+  net::asio::awaitable<JobReply> ServeAsOwner(
+      std::shared_ptr<CellMember> member, JobRequest request);
   void LogRelay(const JobRequest& request, const Attempt& attempt,
                 const std::string& relay, Millis age) const;
   std::vector<std::string> ChooseRelays(const std::string& owner_address,
--- a/tests/sim/job_state_test.cc
+++ b/tests/sim/job_state_test.cc
@@ -245,6 +245,11 @@
       cell.RunFor(kCallerTimeout);
       CHECK(IsState(answer));
     }
+    // The first call of the owner has ended at its limit.
+    CHECK(cell.Node(1).ForwardCounts().owner_calls_slow > 0);
+    CHECK(cell.Node(1).ForwardCounts().not_served == 0);
+    CHECK(cell.Node(0).ForwardCounts().answered_as_owner > 0);
+    CHECK(cell.Node(0).ForwardCounts().answered_too_late == 0);
   });
 }
 
