Test the state of jobs after a restart while the store is harmed

All six entries are killed and started again while the store refuses, ignores, half ignores or loses the calls of each for 0.5 to 6 s; 15 s after that each has to tell the state of each of 60 jobs in 3 s.

--- a/tests/sim/job_state_test.cc
+++ b/tests/sim/job_state_test.cc
@@ -154,6 +154,35 @@
   CHECK(moved > 0);
 }
 
+static net::asio::awaitable<void> LimitStoreFor(SimulatedCell& cell, int node,
+                                                StoreAccess access,
+                                                Millis duration) {
+  cell.Faults(node).store = access;
+  co_await net::Sleep(duration);
+  cell.Faults(node).store = StoreAccess::kNormal;
+}
+
+/// Guards against owners that do not get ready because a read of the store was
+/// never answered, and against claims whose outcome is not known.
+TEST_CASE("each entry tells the state of each job after the store was harmed") {
+  ForEachSeed(10, [](std::uint64_t seed) {
+    SimulatedCell cell(seed, kNodes, kCells);
+    StartCells(cell);
+    const auto accesses = {StoreAccess::kRefused, StoreAccess::kSilent,
+                           StoreAccess::kReadOnly, StoreAccess::kLosesCalls};
+    for (int node = 0; node < kNodes; ++node) {
+      cell.KillNode(node);
+      const auto kind =
+          static_cast<std::ptrdiff_t>(cell.Randomness().Below(accesses.size()));
+      cell.Spawn(LimitStoreFor(cell, node, *(accesses.begin() + kind),
+                               Between(cell, 500, 6'000)));
+      cell.Spawn(StartAfter(cell, node, Between(cell, 100, 3'000)));
+    }
+    cell.RunFor(Millis(6'000) + kRecoveryTime);
+    CheckAllJobsAreShown(cell, seed);
+  });
+}
+
 static net::asio::awaitable<void> TerminateInTurn(SimulatedCell& cell,
                                                   int at_a_time, Millis gap) {
   for (int first = 0; first < kNodes; first += at_a_time) {
