--- a/src/libs/cell/request_forwarder.cc
+++ b/src/libs/cell/request_forwarder.cc
@@ -19,6 +19,10 @@
 /// can't be established leaves nothing in doubt.
 static constexpr Millis kCallMargin(20);
 static constexpr std::size_t kMaxRelays = 2;
+/// A call of an owner that takes longer is logged, by both sides.
+static constexpr Millis kSlowCall(1'000);
+/// How soon a read that waits for the last owner is sent to the next one.
+static constexpr Millis kOwnerCheckInterval(50);
 
 /// The course of one caller's request.
 struct RequestForwarder::Search {
@@ -40,6 +44,8 @@
   Signal changed;
   std::shared_ptr<CellMember> member;
   std::optional<OwnerRecord> owner;
+  std::string owner_at_start;  ///< Incarnation of the known owner, if any.
+  bool is_read = false;
   int pending = 0;
   bool in_doubt = false;
   bool owner_replied = false;       ///< Or its address refuses connections.
@@ -47,6 +53,16 @@
   std::optional<JobReply> refusal;  ///< Nothing was done by this copy.
 
   std::string OwnerAddress() const { return owner ? owner->address : ""; }
+  std::string KnownOwner() const {
+    const std::optional<OwnerRecord>& known = member->KnownOwner();
+    return known ? known->incarnation : "";
+  }
+  /// Whether another owner has begun meanwhile. A read changes nothing, so it
+  /// need not wait for the answers to the copies that were sent before.
+  bool IsOutdated() const {
+    const std::string known = KnownOwner();
+    return is_read && !known.empty() && known != owner_at_start;
+  }
 };
 
 /// An owner that may have been replaced and can't reach the store refuses what
@@ -118,6 +134,7 @@
       search.started + Millis(request.timeout_ms) - settings_.reply_margin;
   for (;;) {
     if (IsTimedOut(search, request)) {
+      ++counters_.not_served;
       LogNotServed(request, search);
       co_return FinalReply(search, request);
     }
@@ -195,8 +212,9 @@
   attempts_.insert(attempt);
   while (!attempt->answer && attempt->pending > 0) {
     const Millis until = std::min(timeout_at, DeadlineOf(search));
-    if (Now() >= until) break;
-    co_await attempt->changed.WaitFor(until - Now());
+    if (Now() >= until || attempt->IsOutdated()) break;
+    co_await attempt->changed.WaitFor(
+        std::min(until - Now(), kOwnerCheckInterval));
   }
   attempts_.erase(attempt);
 }
@@ -257,6 +275,8 @@
   const auto attempt = std::make_shared<Attempt>(context_);
   attempt->member = callbacks_.member(request.cell);
   attempt->owner = std::move(owner);
+  attempt->owner_at_start = attempt->KnownOwner();
+  attempt->is_read = IsRead(request);
   const std::string owner_address = attempt->OwnerAddress();
   std::vector<std::string> paths = ChooseRelays(owner_address, search);
   if (attempt->owner) {
@@ -278,11 +298,12 @@
     }
     StartCall(attempt, path, std::move(copy), left);
     co_await WaitForAnswer(attempt, search, settings_.relay_delay);
-    if (attempt->answer) break;
+    if (attempt->answer || attempt->IsOutdated()) break;
     if (!is_relay && !MayRelayHelp(*attempt, started)) break;
   }
   co_await WaitForAnswer(attempt, search, DeadlineOf(search) - Now());
   if (attempt->answer) co_return *attempt->answer;
+  if (attempt->IsOutdated()) co_return JobReply{ReplyKind::kNotOwner};
   if (attempt->pending > 0 || attempt->in_doubt) {
     if (attempt->owner) attempt->member->OnOwnerDoubted();
     co_return JobReply{ReplyKind::kInDoubt};
@@ -309,10 +330,12 @@
     Millis timeout) {
   const bool is_relay = !request.relay_for.empty();
   request.timeout_ms = std::max(timeout - kHopMargin, Millis(1)).count;
+  const Millis started = Now();
   const JobReply reply = co_await callbacks_.call_peer(
-      address, std::move(request), std::max(timeout - kCallMargin, Millis(1)));
+      address, request, std::max(timeout - kCallMargin, Millis(1)));
   --attempt->pending;
   if (!is_relay) {
+    NoteOwnerCall(request, address, reply, started);
     attempt->owner_replied = !reply.incarnation.empty();
     NoteOwnerReply(*attempt->member, *attempt->owner, reply);
   }
@@ -328,6 +351,35 @@
   attempt->changed.NotifyAll();
 }
 
+void RequestForwarder::NoteOwnerCall(const JobRequest& request,
+                                     const std::string& address,
+                                     const JobReply& reply, Millis started) {
+  const Millis took = Now() - started;
+  if (took < kSlowCall) return;
+  ++counters_.owner_calls_slow;
+  kLog.Info("event=owner_call_slow job=" + request.job + " request=" +
+            NameOf(request.kind) + " cell=" + std::to_string(request.cell) +
+            " owner=" + address + " took_ms=" + std::to_string(took.count) +
+            " limit_ms=" + std::to_string(request.timeout_ms) +
+            " replied=" + (reply.incarnation.empty() ? "0" : "1"));
+}
+
+net::asio::awaitable<JobReply> RequestForwarder::ServeAsOwner(
+    std::shared_ptr<CellMember> member, JobRequest request) {
+  const Millis started = Now();
+  JobReply reply = co_await member->Owner()->Handle(request);
+  reply.may_be_replaced = !member->IsAuthoritative();
+  const Millis took = Now() - started;
+  ++counters_.answered_as_owner;
+  if (took >= Millis(request.timeout_ms)) ++counters_.answered_too_late;
+  if (took < kSlowCall) co_return reply;
+  kLog.Info("event=owner_answer_slow job=" + request.job + " request=" +
+            NameOf(request.kind) + " cell=" + std::to_string(request.cell) +
+            " took_ms=" + std::to_string(took.count) +
+            " limit_ms=" + std::to_string(request.timeout_ms));
+  co_return reply;
+}
+
 void RequestForwarder::NoteOwnerReply(CellMember& member,
                                       const OwnerRecord& owner,
                                       const JobReply& reply) {
@@ -362,8 +414,7 @@
     member->OnStepDownRequest(request.token);
     reply.kind = ReplyKind::kSteppedDown;
   } else if (member->Owner()) {
-    reply = co_await member->Owner()->Handle(std::move(request));
-    reply.may_be_replaced = !member->IsAuthoritative();
+    reply = co_await ServeAsOwner(member, std::move(request));
   } else if (!request.relay_for.empty() && owner &&
              owner->incarnation != self_.incarnation &&
              owner->address != request.relay_for) {
--- a/tests/sim/job_state_test.cc
+++ b/tests/sim/job_state_test.cc
@@ -154,6 +154,35 @@
   CHECK(moved > 0);
 }
 
+static net::asio::awaitable<void> LimitStoreFor(SimulatedCell& cell, int node,
+                                                StoreAccess access,
+                                                Millis duration) {
+  cell.Faults(node).store = access;
+  co_await net::Sleep(duration);
+  cell.Faults(node).store = StoreAccess::kNormal;
+}
+
+/// Guards against owners that do not get ready because a read of the store was
+/// never answered, and against claims whose outcome is not known.
+TEST_CASE("each entry tells the state of each job after the store was harmed") {
+  ForEachSeed(10, [](std::uint64_t seed) {
+    SimulatedCell cell(seed, kNodes, kCells);
+    StartCells(cell);
+    const auto accesses = {StoreAccess::kRefused, StoreAccess::kSilent,
+                           StoreAccess::kReadOnly, StoreAccess::kLosesCalls};
+    for (int node = 0; node < kNodes; ++node) {
+      cell.KillNode(node);
+      const auto kind =
+          static_cast<std::ptrdiff_t>(cell.Randomness().Below(accesses.size()));
+      cell.Spawn(LimitStoreFor(cell, node, *(accesses.begin() + kind),
+                               Between(cell, 500, 6'000)));
+      cell.Spawn(StartAfter(cell, node, Between(cell, 100, 3'000)));
+    }
+    cell.RunFor(Millis(6'000) + kRecoveryTime);
+    CheckAllJobsAreShown(cell, seed);
+  });
+}
+
 static net::asio::awaitable<void> TerminateInTurn(SimulatedCell& cell,
                                                   int at_a_time, Millis gap) {
   for (int first = 0; first < kNodes; first += at_a_time) {
@@ -245,6 +274,11 @@
       cell.RunFor(kCallerTimeout);
       CHECK(IsState(answer));
     }
+    // The first call of the owner has ended at its limit.
+    CHECK(cell.Node(1).ForwardCounts().owner_calls_slow > 0);
+    CHECK(cell.Node(1).ForwardCounts().not_served == 0);
+    CHECK(cell.Node(0).ForwardCounts().answered_as_owner > 0);
+    CHECK(cell.Node(0).ForwardCounts().answered_too_late == 0);
   });
 }
 
@@ -293,3 +327,18 @@
   });
   CHECK(served_in_time > 0);
 }
+
+/// Guards against requests that wait for a lost owner until their time is up
+/// although the next one is known.
+TEST_CASE("a request for a state is sent to the next owner once it is known") {
+  int served_in_time = 0;
+  ForEachSeed(40, [&](std::uint64_t seed) {
+    CAPTURE(seed);
+    SimulatedCell cell(seed, kNodes, /*cells=*/10);
+    const auto answer = AskWhenOwnerIsLost(cell, kCallerTimeout);
+    if (!answer) return;
+    ++served_in_time;
+    CHECK(IsState(answer));
+  });
+  CHECK(served_in_time > 0);
+}
