Scale the limits of a stop to a short termination grace

Callers of an entry with a termination grace below 0.7 s lost their requests at the SIGTERM: it exited at once. With a grace of 0, a negative one or one that is no number the same happened without an error.

Cause: fixed reserves are taken off the grace, so the limits of the stop came before its start; and an owner's drain, which its open requests wait for, took up to 0.8 s whatever the grace.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -302,9 +302,9 @@
   election_.OnOwnerTerminated(incarnation, clock_.Monotonic());
 }
 
-net::asio::awaitable<void> CellMember::Leave() {
+net::asio::awaitable<void> CellMember::Leave(Millis limit) {
   leaving_ = true;
-  co_await HandOver();
+  co_await HandOver(std::min(kDrainTimeout, limit / 2));
 }
 
 net::asio::awaitable<void> CellMember::Yield(Millis cooldown) {
@@ -314,12 +314,12 @@
   kLog.Warning("event=cell_yielded cell=" + std::to_string(cell_) +
                " reason=\"average tick delay too high; handing over to "
                "another node\"");
-  co_await HandOver();
+  co_await HandOver(kDrainTimeout);
   no_campaign_before_ = clock_.Monotonic() + cooldown;
   yielding_ = false;
 }
 
-net::asio::awaitable<void> CellMember::HandOver() {
+net::asio::awaitable<void> CellMember::HandOver(Millis drain_timeout) {
   const auto self = shared_from_this();
   const bool claim_pending = appending_ && !election_.Owns();
   if (claim_pending) {
@@ -328,7 +328,7 @@
   }
   if (!owner_ || !election_.Owns()) co_return;
   const Millis started = clock_.Monotonic();
-  const bool journal_complete = co_await owner_->Drain(kDrainTimeout);
+  const bool journal_complete = co_await owner_->Drain(drain_timeout);
   if (!owner_) co_return;
   OwnerRecord record = election_.MakeRenewalRecord(identity_.peer_address);
   record.vacant = true;
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -110,8 +110,9 @@
   OwnerProbeReply HandleProbe(const OwnerProbe& probe);
   /// Whether the member follows the cell's records in the store.
   bool IsFollowing() const { return watcher_ != nullptr; }
-  /// Hands the cell over if this node owns it, and never campaigns again.
-  net::asio::awaitable<void> Leave();
+  /// Hands the cell over if this node owns it, and never campaigns again. Half
+  /// of `limit` at most is given to the drain of the owner.
+  net::asio::awaitable<void> Leave(Millis limit);
   /// Hands the cell over to another node and does not campaign for `cooldown`.
   net::asio::awaitable<void> Yield(Millis cooldown);
 
@@ -131,7 +132,7 @@
   void UpdateUnreachableVms(const OwnerRecord& record);
   /// Creates or stops the owner so that it matches the election.
   void SyncOwner();
-  net::asio::awaitable<void> HandOver();
+  net::asio::awaitable<void> HandOver(Millis drain_timeout);
   /// Starts to append a record that was made from all records read so far.
   void StartAppend(OwnerRecord record);
   /// Appends if the partition still ends at `expected_end`.
--- a/src/libs/cell/leaving.cc
+++ b/src/libs/cell/leaving.cc
@@ -23,8 +23,9 @@
 }
 
 static net::asio::awaitable<void> LeaveOne(std::shared_ptr<CellMember> member,
+                                           Millis limit,
                                            std::shared_ptr<Departure> all) {
-  co_await member->Leave();
+  co_await member->Leave(limit);
   OnLeft(*all);
 }
 
@@ -34,7 +35,7 @@
   const auto all = std::make_shared<Departure>(context);
   all->pending = members.size();
   for (const auto& member : members) {
-    net::Spawn(context, LeaveOne(member, all), "leave",
+    net::Spawn(context, LeaveOne(member, limit, all), "leave",
                [all] { OnLeft(*all); });
   }
   net::Timer deadline(context);
--- a/tests/auto/platform/boot_settings_test.cc
+++ b/tests/auto/platform/boot_settings_test.cc
@@ -65,3 +65,17 @@
   CHECK(!IsOk(ParseBootSettings("= 3", "test")));
   CHECK(!IsOk(LoadBootSettings("/nowhere/settings.toml")));
 }
+
+TEST_CASE("a grace too short to stop in, or no time, is accepted") {
+  const std::string valid = kValidSettings;
+  const std::size_t at = valid.find("grace_s = 6.5");
+  for (const char* grace : {"0", "-1", "0.4", "nan", "inf", "\"6\""}) {
+    CAPTURE(grace);
+    std::string text = valid;
+    text.replace(at, 13, std::string("grace_s = ") + grace);
+    const auto settings = ParseBootSettings(text, "test");
+    REQUIRE(!IsOk(settings));
+    CHECK(ErrorOf(settings).message.find("bounds.grace_s") !=
+          std::string::npos);
+  }
+}
--- a/tests/system/platform_deployment.cc
+++ b/tests/system/platform_deployment.cc
@@ -92,7 +92,7 @@
   store.Put("keyed.servers", "i-other", "an entry in another format");
 }
 
-void PlatformDeployment::StartEntry(int entry) {
+void PlatformDeployment::StartEntry(int entry, const std::string& grace_s) {
   const Addresses& addresses = addresses_[entry];
   const std::string name =
       temporary_folder_ + "/entry-" + std::to_string(entry);
@@ -103,7 +103,7 @@
            << "port_range = [" << port << ", " << port + 1 << "]\n"
            << "[listen]\nfront = \"" << addresses.caller_api << "\"\nready = \""
            << addresses.readiness << "\"\n[platform]\naddress = \""
-           << store_address_ << "\"\n[bounds]\ngrace_s = 4\n";
+           << store_address_ << "\"\n[bounds]\ngrace_s = " << grace_s << "\n";
   settings.close();
   entries_[entry] = std::make_unique<Process>(
       std::vector<std::string>{BASILSPUR_BIN "/basilspur-node", "--boot",
--- a/tests/system/platform_deployment.h
+++ b/tests/system/platform_deployment.h
@@ -23,8 +23,9 @@
   PlatformDeployment(int entries, int workers, int cells = 1);
   ~PlatformDeployment();
 
-  /// Starts an entry, or restarts one that has exited.
-  void StartEntry(int entry);
+  /// Starts an entry, or restarts one that has exited. `grace_s` is the
+  /// termination grace in its settings.
+  void StartEntry(int entry, const std::string& grace_s = "4");
   void Signal(int entry, int signal) { entries_[entry]->Signal(signal); }
   int WaitForExit(int entry) { return entries_[entry]->Wait(); }
   bool IsReady(int entry);
--- a/tests/system/termination_test.cc
+++ b/tests/system/termination_test.cc
@@ -56,3 +56,22 @@
   CHECK(deployment.WaitForExit(0) == 0);
   CHECK(deployment.CountInLogs("event=call_cut") == 0);
 }
+
+TEST_CASE("a request is cut because the grace is shorter than the reserves") {
+  PlatformDeployment deployment(1, 1);
+  deployment.WaitUntilReady();
+  deployment.Signal(0, SIGTERM);
+  REQUIRE(deployment.WaitForExit(0) == 0);
+  deployment.StartEntry(0, "0.5");
+  deployment.WaitUntilReady();
+  REQUIRE(deployment.Submit(0, "0000000000000001", 1, "10") == 200);
+  deployment.store.drop_append_responses = true;
+  CallerConnection caller(deployment.CallerAddress(0));
+  std::future<unsigned> status = std::async(std::launch::async, [&caller] {
+    return caller.Call("POST", "/q/0000000000000002", kJob);
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  deployment.Signal(0, SIGTERM);
+  CHECK(status.get() == 504);
+  CHECK(deployment.WaitForExit(0) == 0);
+}
