--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -308,9 +308,9 @@
   election_.OnOwnerTerminated(incarnation, clock_.Monotonic());
 }
 
-net::asio::awaitable<void> CellMember::Leave() {
+net::asio::awaitable<void> CellMember::Leave(Millis limit) {
   leaving_ = true;
-  co_await HandOver();
+  co_await HandOver(std::min(kDrainTimeout, limit / 2));
 }
 
 net::asio::awaitable<void> CellMember::Yield(Millis cooldown) {
@@ -320,17 +320,17 @@
   kLog.Warning("event=cell_yielded cell=" + std::to_string(cell_) +
                " reason=\"average tick delay too high; handing over to "
                "another node\"");
-  co_await HandOver();
+  co_await HandOver(kDrainTimeout);
   no_campaign_before_ = clock_.Monotonic() + cooldown;
   yielding_ = false;
 }
 
 void CellMember::StartHandOver() {
   if (handing_over_) return;
-  net::Spawn(context_, HandOver(), "hand_over");
+  net::Spawn(context_, HandOver(kDrainTimeout), "hand_over");
 }
 
-net::asio::awaitable<void> CellMember::HandOver() {
+net::asio::awaitable<void> CellMember::HandOver(Millis drain_timeout) {
   const auto self = shared_from_this();
   while (handing_over_) co_await net::Sleep(kPendingAppendPollInterval);
   handing_over_ = true;
@@ -347,16 +347,17 @@
   if (!election_.Owns()) co_return;
   std::optional<OwnerRecord> record;
   if (owner_) {
-    record = co_await DrainOwner();
+    record = co_await DrainOwner(drain_timeout);
   } else {
     record = MakeVacantRecord();
   }
   if (record) co_await AppendVacantRecord(*record);
 }
 
-net::asio::awaitable<std::optional<OwnerRecord>> CellMember::DrainOwner() {
+net::asio::awaitable<std::optional<OwnerRecord>> CellMember::DrainOwner(
+    Millis drain_timeout) {
   const Millis started = clock_.Monotonic();
-  const bool journal_complete = co_await owner_->Drain(kDrainTimeout);
+  const bool journal_complete = co_await owner_->Drain(drain_timeout);
   if (!owner_) co_return std::nullopt;
   OwnerRecord record = election_.MakeRenewalRecord(identity_.peer_address);
   record.vacant = true;
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -111,8 +111,9 @@
   /// Whether the member follows the cell's records in the store.
   bool IsFollowing() const { return watcher_ != nullptr; }
   /// Hands the cell over if this node owns it, and never campaigns again. If a
-  /// claim of this node is still stored after that, it is released, too.
-  net::asio::awaitable<void> Leave();
+  /// claim of this node is still stored after that, it is released, too. Half
+  /// of `limit` at most is given to the drain of the owner.
+  net::asio::awaitable<void> Leave(Millis limit);
   /// Hands the cell over to another node and does not campaign for `cooldown`.
   net::asio::awaitable<void> Yield(Millis cooldown);
 
@@ -134,13 +135,14 @@
   void SyncOwner();
   /// Releases the cell if this node owns it or a pending claim makes it the
   /// owner. Precondition: `leaving_` or `yielding_`.
-  net::asio::awaitable<void> HandOver();
+  net::asio::awaitable<void> HandOver(Millis drain_timeout);
   /// Hands over the cell of a claim that was stored although this node is
   /// leaving or yielding.
   void StartHandOver();
   /// Stops the owner and returns the record that releases the cell, or nothing
   /// if the ownership has ended meanwhile.
-  net::asio::awaitable<std::optional<OwnerRecord>> DrainOwner();
+  net::asio::awaitable<std::optional<OwnerRecord>> DrainOwner(
+      Millis drain_timeout);
   /// Returns the record that releases a cell that was claimed but has no owner,
   /// so nothing was started under its token.
   OwnerRecord MakeVacantRecord() const;
--- a/tests/auto/cell/leaving_test.cc
+++ b/tests/auto/cell/leaving_test.cc
@@ -75,7 +75,7 @@
   SECTION("leaving") {
     std::optional<bool> left;
     SendClaim(fixture);
-    net::asio::co_spawn(fixture.context, fixture.member->Leave(),
+    net::asio::co_spawn(fixture.context, fixture.member->Leave(kLeaveLimit),
                         [&](const std::exception_ptr&) { left = true; });
     fixture.PumpFor(Millis(30));
     CHECK(!left);
@@ -120,7 +120,7 @@
 TEST_CASE("an entry that is told to leave does not send a claim that it made") {
   CellMemberFixture fixture;
   // The order to leave is carried out between the claim's making and sending.
-  net::asio::co_spawn(fixture.context, fixture.member->Leave(),
+  net::asio::co_spawn(fixture.context, fixture.member->Leave(kLeaveLimit),
                       net::asio::detached);
   for (int i = 0; i < 100; ++i) {
     fixture.clock.Advance(Millis(50));
