Test entries listen on an address of their test process

Two soaks beside each other took ports from each other: an entry that restarted could not bind (exit code 3), entries were not ready within 10 s, and callers reached entries of the other soak (67 answers with status 404). A port was only checked to be free, and the search of two processes with consecutive ids starts 101 ports apart, while 40 entries need 120. Each test process now has a loopback address of its own.

--- a/tests/system/platform_deployment.cc
+++ b/tests/system/platform_deployment.cc
@@ -39,19 +39,23 @@
   return path;
 }
 
+static std::string FreeAddress() {
+  return fakes::FreeAddress(fakes::ProcessLoopbackIp());
+}
+
 PlatformDeployment::PlatformDeployment(int entries, int workers, int cells)
     : cells_(cells),
       temporary_folder_(MakeTemporaryFolder()),
       entries_(entries),
       starts_(entries) {
-  store_address_ = fakes::FreeAddress();
+  store_address_ = FreeAddress();
   net::ServeHttp(context_, store_address_, [this](net::HttpRequest request) {
     return store.HandleRequest(std::move(request));
   });
   for (int i = 0; i < workers; ++i) {
     this->workers.push_back(std::make_unique<standins::WorkerStandin>(
         "i-" + std::to_string(i), histories));
-    worker_addresses_.push_back(fakes::FreeAddress());
+    worker_addresses_.push_back(FreeAddress());
     net::ServeHttp(
         context_, worker_addresses_.back(),
         [worker = this->workers.back().get()](net::HttpRequest request) {
@@ -65,8 +69,7 @@
   PublishWorkerEntries();
   if (cells > 1) PublishLayout();
   for (int i = 0; i < entries; ++i) {
-    addresses_.push_back(
-        {fakes::FreeAddress(), fakes::FreeAddress(), fakes::FreeAddress()});
+    addresses_.push_back({FreeAddress(), FreeAddress(), FreeAddress()});
   }
   thread_ = std::thread([this] { context_.run(); });
   for (int i = 0; i < entries; ++i) StartEntry(i);
@@ -117,7 +120,8 @@
   const auto peers = net::ParseAddress(addresses.peers);
   const int port = ValueOf(peers).port;
   std::ofstream settings(name + ".toml");
-  settings << "node = \"entry-" << entry << "\"\nip = \"127.0.0.1\"\n"
+  settings << "node = \"entry-" << entry << "\"\nip = \""
+           << fakes::ProcessLoopbackIp() << "\"\n"
            << "port_range = [" << port << ", " << port + 1 << "]\n"
            << "[listen]\nfront = \"" << addresses.caller_api << "\"\nready = \""
            << addresses.readiness << "\"\n[platform]\naddress = \""
