--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -28,7 +28,8 @@
       operator_(plan, deployment_) {}
 
 std::vector<std::string> SoakRun::Play() {
-  deployment_.WaitUntilReady();
+  CheckReady();
+  if (!findings_.empty()) return findings_;
   PlayTraffic();
   CheckJobsAtEntries();
   operator_.StopAll();
@@ -42,6 +43,14 @@
   return findings_;
 }
 
+void SoakRun::CheckReady() {
+  try {
+    deployment_.WaitUntilReady();
+  } catch (const std::runtime_error& error) {
+    Report(std::string("ready: ") + error.what());
+  }
+}
+
 void SoakRun::PlayTraffic() {
   std::vector<std::string> addresses;
   for (int i = 0; i < plan_.entries; ++i) {
@@ -55,11 +64,7 @@
     }));
   }
   operator_.CarryOut();
-  try {
-    deployment_.WaitUntilReady();
-  } catch (const std::runtime_error& error) {
-    Report(std::string("ready: ") + error.what());
-  }
+  CheckReady();
   stopped = true;
   for (auto& caller : callers) caller.get();
 }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -26,6 +26,7 @@
   const std::string& LogFolder() const { return deployment_.LogFolder(); }
 
  private:
+  void CheckReady();
   void PlayTraffic();
   /// Asks each entry for each job that was accepted, and later for its end.
   void CheckJobsAtEntries();
