Wait for the peer before a connection is closed after a response

A caller that had sent more than its request, or the rest of one that was rejected, could lose the response of a connection that the server closes: what it had not received yet was dropped and the connection reset.

Cause: close() on a socket with unread input sends a reset and discards what is still to be sent. Each response of a stopping entry closes its connection.

Change: after the last response the server ends its direction, and discards input until the peer closes or for 0.5 s. The end of a stop waits for that, too, within its limit. Connections that failed or were idle are closed at once, so that no request is read that is not answered.

Answers to callers fit into the sockets' buffers, and none was seen lost in this way with them.

--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <poll.h>
 
+#include <array>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
@@ -20,6 +21,8 @@
 
 static constexpr std::chrono::seconds kIdleTimeout(60);
 static constexpr Millis kAcceptRetryInterval(50);
+/// How long the server waits for the peer to close after the last response.
+static constexpr std::chrono::milliseconds kLingerTimeout(500);
 /// In a shutdown, a new connection is left open this long for its first
 /// request, which usually follows at once.
 static constexpr std::chrono::milliseconds kFirstRequestDelay(100);
@@ -164,21 +167,39 @@
       stream, message, asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-static asio::awaitable<void> ServeConnection(
-    std::unique_ptr<ServerConnection> connection, SharedServerState state) {
-  beast::tcp_stream& stream = connection->Stream();
+/// Ends a connection after its last response. Unread input when a socket is
+/// closed would reset the connection, and what the peer has not received of the
+/// response would be lost.
+static asio::awaitable<void> CloseAfterResponse(beast::tcp_stream& stream) {
+  error_code failure;
+  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
+  stream.expires_after(kLingerTimeout);
+  std::array<char, 4'096> discarded;
+  while (!failure) {
+    co_await stream.async_read_some(
+        asio::buffer(discarded),
+        asio::redirect_error(asio::use_awaitable, failure));
+  }
+}
+
+/// Returns whether a response has been sent after which the connection closes;
+/// false if it has failed or was idle.
+static asio::awaitable<bool> ServeRequests(ServerConnection& connection,
+                                           SharedServerState state) {
+  beast::tcp_stream& stream = connection.Stream();
   for (;;) {
     stream.expires_after(kIdleTimeout);
     RequestParser parser;
     parser.body_limit(state->options.max_body_bytes);
-    error_code failure = co_await connection->ReadRequest(parser);
+    error_code failure = co_await connection.ReadRequest(parser);
     if (failure) {
-      if (IsMalformed(failure)) co_await RejectRequest(stream, failure);
-      co_return;
+      if (!IsMalformed(failure)) co_return false;
+      co_await RejectRequest(stream, failure);
+      co_return true;
     }
     if (HasUnsupportedTransferCoding(parser.get())) {
       co_await RejectRequest(stream, http::error::bad_transfer_encoding);
-      co_return;
+      co_return true;
     }
     const ActiveRequest active(state->options.active_requests);
     const bool client_keeps_alive = parser.get().keep_alive();
@@ -195,10 +216,17 @@
     stream.expires_after(kIdleTimeout);
     co_await http::async_write(
         stream, message, asio::redirect_error(asio::use_awaitable, failure));
-    if (failure || !keep_alive) co_return;
+    if (failure) co_return false;
+    if (!keep_alive) co_return true;
   }
 }
 
+static asio::awaitable<void> ServeConnection(
+    std::unique_ptr<ServerConnection> connection, SharedServerState state) {
+  const bool responded = co_await ServeRequests(*connection, std::move(state));
+  if (responded) co_await CloseAfterResponse(connection->Stream());
+}
+
 static asio::awaitable<void> AcceptLoop(
     asio::io_context& context, std::unique_ptr<ServerListener> listener,
     SharedServerState state) {
