--- a/src/libs/cell/request_forwarder.cc
+++ b/src/libs/cell/request_forwarder.cc
@@ -21,8 +21,6 @@
 static constexpr std::size_t kMaxRelays = 2;
 /// A call of an owner that takes longer is logged, by both sides.
 static constexpr Millis kSlowCall(1'000);
-/// How soon a read that waits for the last owner is sent to the next one.
-static constexpr Millis kOwnerCheckInterval(50);
 
 /// The course of one caller's request.
 struct RequestForwarder::Search {
@@ -44,8 +42,6 @@
   Signal changed;
   std::shared_ptr<CellMember> member;
   std::optional<OwnerRecord> owner;
-  std::string owner_at_start;  ///< Incarnation of the known owner, if any.
-  bool is_read = false;
   int pending = 0;
   bool in_doubt = false;
   bool owner_replied = false;       ///< Or its address refuses connections.
@@ -53,16 +49,6 @@
   std::optional<JobReply> refusal;  ///< Nothing was done by this copy.
 
   std::string OwnerAddress() const { return owner ? owner->address : ""; }
-  std::string KnownOwner() const {
-    const std::optional<OwnerRecord>& known = member->KnownOwner();
-    return known ? known->incarnation : "";
-  }
-  /// Whether another owner has begun meanwhile. A read changes nothing, so it
-  /// need not wait for the answers to the copies that were sent before.
-  bool IsOutdated() const {
-    const std::string known = KnownOwner();
-    return is_read && !known.empty() && known != owner_at_start;
-  }
 };
 
 /// An owner that may have been replaced and can't reach the store refuses what
@@ -212,9 +198,8 @@
   attempts_.insert(attempt);
   while (!attempt->answer && attempt->pending > 0) {
     const Millis until = std::min(timeout_at, DeadlineOf(search));
-    if (Now() >= until || attempt->IsOutdated()) break;
-    co_await attempt->changed.WaitFor(
-        std::min(until - Now(), kOwnerCheckInterval));
+    if (Now() >= until) break;
+    co_await attempt->changed.WaitFor(until - Now());
   }
   attempts_.erase(attempt);
 }
@@ -275,8 +260,6 @@
   const auto attempt = std::make_shared<Attempt>(context_);
   attempt->member = callbacks_.member(request.cell);
   attempt->owner = std::move(owner);
-  attempt->owner_at_start = attempt->KnownOwner();
-  attempt->is_read = IsRead(request);
   const std::string owner_address = attempt->OwnerAddress();
   std::vector<std::string> paths = ChooseRelays(owner_address, search);
   if (attempt->owner) {
@@ -298,12 +281,11 @@
     }
     StartCall(attempt, path, std::move(copy), left);
     co_await WaitForAnswer(attempt, search, settings_.relay_delay);
-    if (attempt->answer || attempt->IsOutdated()) break;
+    if (attempt->answer) break;
     if (!is_relay && !MayRelayHelp(*attempt, started)) break;
   }
   co_await WaitForAnswer(attempt, search, DeadlineOf(search) - Now());
   if (attempt->answer) co_return *attempt->answer;
-  if (attempt->IsOutdated()) co_return JobReply{ReplyKind::kNotOwner};
   if (attempt->pending > 0 || attempt->in_doubt) {
     if (attempt->owner) attempt->member->OnOwnerDoubted();
     co_return JobReply{ReplyKind::kInDoubt};
