--- a/tests/soak/stop_series_test.cc
+++ b/tests/soak/stop_series_test.cc
@@ -46,6 +46,10 @@
   return command + " build/tests/test_stop_series";
 }
 
+/// The users' machines have no disk. On a busy one, a process that writes its
+/// log to a file waits for seconds in the kernel, and signals wait with it.
+static constexpr char kMemoryFolder[] = "/dev/shm";
+
 TEST_CASE("overlapping series of stops lose no request and no job") {
   // Requests were cut without an answer while entries were stopped in
   // overlapping series, each a few seconds after its entry's SIGTERM.
@@ -53,6 +57,9 @@
       NumberFromEnvironment("BASILSPUR_SEED", kFirstSeed);
   const std::uint64_t count = NumberFromEnvironment("BASILSPUR_SEEDS", kSeeds);
   const SoakOptions options = OptionsFromEnvironment();
+  if (std::filesystem::exists(kMemoryFolder)) {
+    setenv("TMPDIR", kMemoryFolder, /*replace=*/0);
+  }
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     const SoakPlan plan = MakePlan(seed, options);
     SoakRun run(plan);
--- a/tests/system/platform_deployment.cc
+++ b/tests/system/platform_deployment.cc
@@ -3,7 +3,6 @@
 #include <signal.h>
 #include <stdlib.h>
 
-#include <filesystem>
 #include <fstream>
 #include <future>
 #include <nlohmann/json.hpp>
@@ -24,15 +23,9 @@
 static constexpr std::chrono::milliseconds kPollInterval(20);
 static constexpr int kMaxPolls = 500;
 
-/// The users' machines have no disk. On a busy one, a process that writes its
-/// log to a file waits for seconds in the kernel, and signals wait with it.
-static constexpr char kMemoryFolder[] = "/dev/shm";
-
 static std::string MakeTemporaryFolder() {
   const char* parent = std::getenv("TMPDIR");
-  std::string path = parent                                   ? parent
-                     : std::filesystem::exists(kMemoryFolder) ? kMemoryFolder
-                                                              : "/tmp";
+  std::string path = parent ? parent : "/tmp";
   path += "/basilspur-platform-XXXXXX";
   if (!mkdtemp(path.data()))
     throw std::runtime_error("cannot create the folder " + path);
