--- a/tests/auto/cell/cell_member_test.cc
+++ b/tests/auto/cell/cell_member_test.cc
@@ -238,7 +238,7 @@
   CellMemberFixture fixture;
   fixture.AppendClaimOf("b");
   fixture.Pump();
-  net::asio::co_spawn(fixture.context, fixture.member->Leave(),
+  net::asio::co_spawn(fixture.context, fixture.member->Leave(Millis(2'000)),
                       net::asio::detached);
   fixture.Pump();
   fixture.AppendRecord(MakeVacantRecord("a-1"));
@@ -256,7 +256,7 @@
   OwnerProbe probe;
   probe.incarnation = "b-1";
   REQUIRE(fixture.member->HandleProbe(probe).candidate);
-  net::asio::co_spawn(fixture.context, fixture.member->Leave(),
+  net::asio::co_spawn(fixture.context, fixture.member->Leave(Millis(2'000)),
                       net::asio::detached);
   fixture.PumpFor(Millis(100));
   REQUIRE(fixture.NewestRecord().vacant);
