--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -312,7 +312,7 @@
   const auto self = shared_from_this();
   draining_ = true;
   // Nothing was started or accepted, so the journal is as it was taken over.
-  if (!ready_) co_return ownership_.journal_complete;
+  if (!ready_) co_return !stopped_ && ownership_.journal_complete;
   batch_pending_.NotifyAll();
   const Millis deadline = Now() + timeout;
   while (!stopped_ && Now() < deadline) {
