An owner that can't take its cell over gives it to another one

After 5 s without a take-over, while its renewals are stored, the owner yields the cell and does not campaign for it for 15 s. Test, before: the member still owned the cell after 7 s.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -18,6 +18,10 @@
 static constexpr int kMaxVacateAttempts = 5;
 static constexpr Millis kVacateRetryInterval(100);
 static constexpr Millis kPendingAppendPollInterval(5);
+/// Taking a cell over lasts up to 0.8 s. A node that needs longer than this,
+/// though its renewals reach the store, leaves the cell to another one.
+static constexpr Millis kTakeOverTimeout(5'000);
+static constexpr Millis kTakeOverCooldown(15'000);
 
 /// Resets a flag at the end of its scope, also after an exception.
 class FlagReset {
@@ -141,6 +145,7 @@
   ownership.handed_over = election_.WasHandedOver();
   ownership.journal_complete = election_.HasCompleteJournal();
   ownership.unreachable_vms = unreachable_vms_;
+  owner_started_ = clock_.Monotonic();
   owner_ = callbacks_.make_owner(ownership, MakeStanding());
   owner_->Start();
   for (const FormerOwner& former : election_.FormerOwners()) {
@@ -231,6 +236,11 @@
     StopOwner();
   }
   if (owner_) owner_->Tick();
+  if (IsTakeOverOverdue(now)) {
+    net::Spawn(context_,
+               Yield(kTakeOverCooldown, "the take-over lasts too long"),
+               "cell_yield");
+  }
   if (appending_ || leaving_ || yielding_) return;
   // A new owner publishes its load at once: hundreds of jobs may arrive
   // together and are assigned by the published loads.
@@ -328,13 +338,19 @@
   co_await HandOver(std::min(kDrainTimeout, limit / 2));
 }
 
-net::asio::awaitable<void> CellMember::Yield(Millis cooldown) {
+bool CellMember::IsTakeOverOverdue(Millis now) const {
+  return owner_ && !owner_->IsReady() && !leaving_ && !yielding_ &&
+         now - owner_started_ > kTakeOverTimeout &&
+         election_.IsAuthoritative(now);
+}
+
+net::asio::awaitable<void> CellMember::Yield(Millis cooldown,
+                                             const char* reason) {
   const auto self = shared_from_this();
   if (yielding_ || leaving_) co_return;
   yielding_ = true;
   kLog.Warning("event=cell_yielded cell=" + std::to_string(cell_) +
-               " reason=\"average tick delay too high; handing over to "
-               "another node\"");
+               " reason=\"" + reason + "; handing over to another node\"");
   co_await HandOver(kDrainTimeout);
   no_campaign_before_ = clock_.Monotonic() + cooldown;
   yielding_ = false;
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -115,7 +115,9 @@
   /// of `limit` at most is given to the drain of the owner.
   net::asio::awaitable<void> Leave(Millis limit);
   /// Hands the cell over to another node and does not campaign for `cooldown`.
-  net::asio::awaitable<void> Yield(Millis cooldown);
+  /// `reason` is logged. Precondition: `reason` outlives the coroutine.
+  net::asio::awaitable<void> Yield(
+      Millis cooldown, const char* reason = "average tick delay too high");
 
  private:
   /// How often an owner publishes its tail-latency estimates.
@@ -139,6 +141,8 @@
   }
   void UpdateOutlook(const std::string& incarnation_before);
   void UpdateUnreachableVms(const OwnerRecord& record);
+  /// Whether the owner has not taken the cell over yet, for too long.
+  bool IsTakeOverOverdue(Millis now) const;
   /// Creates or stops the owner so that it matches the election.
   void SyncOwner();
   /// Releases the cell if this node owns it or a pending claim makes it the
@@ -193,6 +197,7 @@
       false;  ///< Whether this ownership has published its load.
   std::shared_ptr<TopicWatcher> watcher_;
   std::shared_ptr<CellOwner> owner_;
+  Millis owner_started_;
   std::int64_t owner_token_ = -1;
   /// Listed by the newest owner record, apart from this process's own claims,
   /// which repeat the list.
--- a/tests/auto/cell/cell_member_test.cc
+++ b/tests/auto/cell/cell_member_test.cc
@@ -262,3 +262,17 @@
   REQUIRE(fixture.NewestRecord().vacant);
   CHECK(fixture.NewestRecord().successor == "b-1");
 }
+
+// Renewals went on, so no other node took the cell, and no job in it was known.
+TEST_CASE("an owner that can't read the journal keeps its cell") {
+  CellMemberFixture fixture;
+  fixture.store.unreadable_topic = "keyed.jobs";
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.TickFor(Millis(4'000));
+  CHECK(fixture.member->Owns());
+  fixture.TickFor(Millis(3'000));
+  fixture.PumpFor(Millis(50));
+  CHECK(!fixture.member->Owns());
+  CHECK(fixture.NewestRecord().vacant);
+}
