Count crashes of VMs while their owner hands its cell over

The next owner could start a task once more for each VM that it crashed during a hand-over: since an owner that drains takes in nothing new, it did not note either that a VM had closed its connection, and for the next owner the run is an inherited one, of which it is not known whether it had just begun.

--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -116,9 +116,9 @@
             " runs=" + std::to_string(report.running.size()));
 }
 
-static bool IsStale(const RenewalAnswer& answer) {
+static bool IsFailure(const RenewalAnswer& answer, RenewalFailure expected) {
   const auto* failure = std::get_if<RenewalFailure>(&answer);
-  return failure && *failure == RenewalFailure::kStaleToken;
+  return failure && *failure == expected;
 }
 
 net::asio::awaitable<bool> CellOwner::RenewOnce(const jobs::VmListing& vm) {
@@ -132,7 +132,12 @@
   if (renewal.deadline_ms == 0) renewal.max_wait = Millis(0);
   const RenewalAnswer answer = co_await vm_client_.Renew(vm, renewal);
   if (stopped_) co_return false;
-  if (draining_ && !IsStale(answer)) {
+  if (draining_ && !IsFailure(answer, RenewalFailure::kStaleToken)) {
+    // The next owner can't see which runs may have crashed the VM.
+    if (IsFailure(answer, RenewalFailure::kDisconnected)) {
+      HandleOutage(vm.id, jobs::VmOutage::kDisconnected);
+      NotifyJournalWriter();
+    }
     // Its ends stay unacknowledged, so the VM reports them to the next owner.
     co_await net::Sleep(kDrainingRenewalInterval);
     co_return true;
--- a/tests/auto/cell/cell_member_fixture.cc
+++ b/tests/auto/cell/cell_member_fixture.cc
@@ -16,7 +16,7 @@
   while (is_held && is_held(vm.id)) co_await net::Sleep(Millis(1));
   if (before_answer) before_answer();
   const auto report = reports.find(vm.id);
-  if (report == reports.end()) co_return RenewalFailure::kNoAnswer;
+  if (report == reports.end()) co_return failure;
   co_return report->second;
 }
 
--- a/tests/auto/cell/cell_member_fixture.h
+++ b/tests/auto/cell/cell_member_fixture.h
@@ -26,6 +26,8 @@
 
   std::vector<Renewal> renewals;
   std::vector<jobs::RunCommand> commands;
+  /// The answer of VMs without a report.
+  RenewalFailure failure = RenewalFailure::kNoAnswer;
   /// Whether the VM does not answer renewals for now. May be empty.
   std::function<bool(const std::string& vm)> is_held;
   /// Called before each answer to a renewal.
--- a/tests/auto/cell/cell_owner_test.cc
+++ b/tests/auto/cell/cell_owner_test.cc
@@ -144,3 +144,32 @@
   fixture.PumpFor(Millis(700));
   CHECK(fixture.vms.renewals.size() > before);
 }
+
+static int CountProgressRecords(CellMemberFixture& fixture) {
+  const auto& records = fixture.store.Records({"keyed.jobs", 0});
+  return static_cast<int>(std::count_if(
+      records.begin(), records.end(),
+      [](const auto& record) { return record.key.starts_with('p'); }));
+}
+
+// The next owner started the task once more for each crash that was not
+// counted.
+TEST_CASE("a crash of a VM while its owner drains is not counted") {
+  CellMemberFixture fixture;
+  fixture.AddVm("vm");
+  fixture.AddJournaledJob(kJob, 0, "");
+  fixture.BecomeOwner();
+  fixture.PumpFor(Millis(100));
+  REQUIRE(fixture.vms.commands.size() == 1);
+  net::asio::co_spawn(fixture.context,
+                      fixture.member->Owner()->Drain(Millis(500)),
+                      net::asio::detached);
+  fixture.PumpFor(Millis(100));
+  const int before = CountProgressRecords(fixture);
+  fixture.vms.failure = RenewalFailure::kDisconnected;
+  fixture.vms.reports.clear();
+  fixture.PumpFor(Millis(400));
+  fixture.TickFor(Millis(100));
+  fixture.PumpFor(Millis(50));
+  CHECK(CountProgressRecords(fixture) > before);
+}
