--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -5,35 +5,15 @@
 
 #include "base/hashing.h"
 #include "base/logging.h"
+#include "cell/flag_reset.h"
 #include "net/spawn.h"
 
 namespace basilspur::cell {
 
 static constexpr LogCategory kLog("member");
-static constexpr char kOwnerKey[] = "owner";
 static constexpr char kTailsKey[] = "tails";
-static constexpr Millis kDrainTimeout(800);
 static constexpr Millis kStepDownTimeout(800);
 static constexpr Millis kStepDownRetryInterval(300);
-static constexpr int kMaxVacateAttempts = 5;
-static constexpr Millis kVacateRetryInterval(100);
-static constexpr Millis kPendingAppendPollInterval(5);
-/// Taking a cell over lasts up to 0.8 s. A node that needs longer than this,
-/// though its renewals reach the store, leaves the cell to another one.
-static constexpr Millis kTakeOverTimeout(5'000);
-static constexpr Millis kTakeOverCooldown(15'000);
-
-/// Resets a flag at the end of its scope, also after an exception.
-class FlagReset {
- public:
-  explicit FlagReset(bool& flag) : flag_(flag) {}
-  ~FlagReset() { flag_ = false; }
-  FlagReset(const FlagReset&) = delete;
-  FlagReset& operator=(const FlagReset&) = delete;
-
- private:
-  bool& flag_;
-};
 
 CellMember::CellMember(net::asio::io_context& context, Store& store,
                        const Clock& clock, Identity identity,
@@ -116,7 +96,7 @@
   }
 }
 
-static std::vector<UnreachableVmRecord> ToRecords(
+std::vector<UnreachableVmRecord> CellMember::ToRecords(
     const std::vector<jobs::UnreachableVm>& unreachable_vms, Millis now) {
   std::vector<UnreachableVmRecord> records;
   for (const jobs::UnreachableVm& vm : unreachable_vms) {
@@ -236,11 +216,7 @@
     StopOwner();
   }
   if (owner_) owner_->Tick();
-  if (IsTakeOverOverdue(now)) {
-    net::Spawn(context_,
-               Yield(kTakeOverCooldown, "the take-over lasts too long"),
-               "cell_yield");
-  }
+  YieldOverdueTakeOver(now);
   if (appending_ || leaving_ || yielding_) return;
   // A new owner publishes its load at once: hundreds of jobs may arrive
   // together and are assigned by the published loads.
@@ -326,114 +302,4 @@
   election_.OnOwnerTerminated(incarnation, clock_.Monotonic());
 }
 
-net::asio::awaitable<void> CellMember::Leave(Millis limit) {
-  const auto self = shared_from_this();
-  leaving_ = true;
-  // The owner must not name this node as its successor.
-  if (follow_policy_.IsCandidate(clock_.Monotonic()) &&
-      Knowledge() == OwnerKnowledge::kOther) {
-    net::Spawn(context_, ProbeOwner(*election_.Owner(), /*owns_cells=*/false),
-               "leaving_probe");
-  }
-  co_await HandOver(std::min(kDrainTimeout, limit / 2));
-}
-
-bool CellMember::IsTakeOverOverdue(Millis now) const {
-  return owner_ && !owner_->IsReady() && !leaving_ && !yielding_ &&
-         now - owner_started_ > kTakeOverTimeout &&
-         election_.IsAuthoritative(now);
-}
-
-net::asio::awaitable<void> CellMember::Yield(Millis cooldown,
-                                             const char* reason) {
-  const auto self = shared_from_this();
-  if (yielding_ || leaving_) co_return;
-  yielding_ = true;
-  kLog.Warning("event=cell_yielded cell=" + std::to_string(cell_) +
-               " reason=\"" + reason + "; handing over to another node\"");
-  co_await HandOver(kDrainTimeout);
-  no_campaign_before_ = clock_.Monotonic() + cooldown;
-  yielding_ = false;
-}
-
-void CellMember::StartHandOver() {
-  if (handing_over_) return;
-  net::Spawn(context_, HandOver(kDrainTimeout), "hand_over");
-}
-
-net::asio::awaitable<void> CellMember::HandOver(Millis drain_timeout) {
-  const auto self = shared_from_this();
-  while (handing_over_) co_await net::Sleep(kPendingAppendPollInterval);
-  handing_over_ = true;
-  const FlagReset reset(handing_over_);
-  if (appending_ && !election_.Owns()) {
-    kLog.Info("event=claim_pending_while_leaving cell=" +
-              std::to_string(cell_));
-  }
-  // Without an owner, a claim that is stored now would leave the cell without
-  // one until others time it out.
-  while (appending_ && !election_.Owns()) {
-    co_await net::Sleep(kPendingAppendPollInterval);
-  }
-  if (!election_.Owns()) co_return;
-  std::optional<OwnerRecord> record;
-  if (owner_) {
-    record = co_await DrainOwner(drain_timeout);
-  } else {
-    record = MakeVacantRecord();
-  }
-  if (record) co_await AppendVacantRecord(*record);
-}
-
-net::asio::awaitable<std::optional<OwnerRecord>> CellMember::DrainOwner(
-    Millis drain_timeout) {
-  const Millis started = clock_.Monotonic();
-  const bool journal_complete = co_await owner_->Drain(drain_timeout);
-  if (!owner_) co_return std::nullopt;
-  OwnerRecord record = election_.MakeRenewalRecord(identity_.peer_address);
-  record.vacant = true;
-  record.journal_complete = journal_complete;
-  record.successor = candidates_.ChooseSuccessor(clock_.Monotonic());
-  record.unreachable_vms =
-      ToRecords(owner_->CollectUnreachableVms(), clock_.Monotonic());
-  kLog.Info(
-      "event=handover_started cell=" + std::to_string(cell_) +
-      " token=" + std::to_string(record.token) + " journal_complete=" +
-      std::to_string(static_cast<int>(journal_complete)) +
-      " was_ready=" + std::to_string(owner_->IsReady() ? 1 : 0) +
-      " successor=" + (record.successor.empty() ? "none" : record.successor) +
-      " drain_ms=" + std::to_string((clock_.Monotonic() - started).count));
-  StopOwner();
-  co_return record;
-}
-
-OwnerRecord CellMember::MakeVacantRecord() const {
-  OwnerRecord record = election_.MakeRenewalRecord(identity_.peer_address);
-  record.vacant = true;
-  record.journal_complete = election_.HasCompleteJournal();
-  record.unreachable_vms = ToRecords(unreachable_vms_, clock_.Monotonic());
-  kLog.Info(
-      "event=claim_released reason=\"the claim was stored while this node "
-      "leaves or yields the cell\" cell=" +
-      std::to_string(cell_) + " token=" + std::to_string(record.token) +
-      " journal_complete=" +
-      std::to_string(static_cast<int>(record.journal_complete)));
-  return record;
-}
-
-net::asio::awaitable<void> CellMember::AppendVacantRecord(OwnerRecord record) {
-  const KeyedRecord written{kOwnerKey, records::Encode(record), 0};
-  for (int attempt = 0; attempt < kMaxVacateAttempts; ++attempt) {
-    std::vector<KeyedRecord> records(1, written);
-    const AppendAnswer answer = co_await store_.AppendAt(
-        partition_, election_.End(), std::move(records));
-    if (answer.outcome == AppendOutcome::kAppended) break;
-    co_await net::Sleep(kVacateRetryInterval);
-    co_await RereadPartition(clock_.Monotonic());
-    // The next attempt must not follow a claim that was read in the meantime.
-    if (election_.Token() != record.token) break;
-  }
-  election_.StepDown();
-}
-
 }  // namespace basilspur::cell
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -120,10 +120,14 @@
       Millis cooldown, const char* reason = "average tick delay too high");
 
  private:
+  /// The key of owner records.
+  static constexpr char kOwnerKey[] = "owner";
   /// How often an owner publishes its tail-latency estimates.
   static constexpr Millis kTailRecordInterval{3'000};
 
   OwnerKnowledge Knowledge() const;
+  static std::vector<UnreachableVmRecord> ToRecords(
+      const std::vector<jobs::UnreachableVm>& unreachable_vms, Millis now);
   /// Starts or stops to follow the cell's records.
   void UpdateFollowing();
   void StartFollowing();
@@ -141,8 +145,8 @@
   }
   void UpdateOutlook(const std::string& incarnation_before);
   void UpdateUnreachableVms(const OwnerRecord& record);
-  /// Whether the owner has not taken the cell over yet, for too long.
-  bool IsTakeOverOverdue(Millis now) const;
+  /// Yields the cell if the owner needs too long to take it over.
+  void YieldOverdueTakeOver(Millis now);
   /// Creates or stops the owner so that it matches the election.
   void SyncOwner();
   /// Releases the cell if this node owns it or a pending claim makes it the
