Soak: judge the exit of a process only once its program has begun

Trace: the entry got SIGTERM 0.43 s after its start, its log has 0 bytes, and the operator's notes show it in state D (disk sleep) 2.4 s later and until the SIGKILL: the system had not loaded the program yet, so that there was nobody to handle the signal. The case is noted beside the logs.

--- a/tests/soak/entry_operator.cc
+++ b/tests/soak/entry_operator.cc
@@ -185,6 +185,11 @@
   repeats_[number] = Millis(0);
   if (entry.killed || entry.was_frozen) return;
   if (entry.stopping_since && exit_code == 0) return;
+  // The system may take seconds to load a program while the disk is busy.
+  if (entry.stopping_since && !deployment_.HasLogged(number)) {
+    Note(number, "ended before its program had begun");
+    return;
+  }
   findings_.push_back(
       "exit: entry " + std::to_string(number) + " ended with " +
       std::to_string(exit_code) + " " +
--- a/tests/system/platform_deployment.cc
+++ b/tests/system/platform_deployment.cc
@@ -240,6 +240,11 @@
   return text.str();
 }
 
+bool PlatformDeployment::HasLogged(int entry) const {
+  std::ifstream file(LogPath(entry));
+  return file.peek() != std::ifstream::traits_type::eof();
+}
+
 int PlatformDeployment::CountInLogs(const std::string& text) const {
   int count = 0;
   for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
--- a/tests/system/platform_deployment.h
+++ b/tests/system/platform_deployment.h
@@ -62,6 +62,9 @@
   /// The first entry that owns a cell according to its log; -1 if there is
   /// none.
   int FindOwner();
+  /// Whether the entry's present or last process has written a line. Until then
+  /// it has not reached its own code.
+  bool HasLogged(int entry) const;
   /// How often `text` occurs in the logs of all entries since their last
   /// starts.
   int CountInLogs(const std::string& text) const;
