Soak: excuse an exit only where the process was seen to wait for the disk

The check skipped every process that had not written a line, which was more than the trace showed: the one that was killed had also been noted in state D. It asks for both now, so a program that hangs before its first line is found again.

--- a/tests/soak/entry_operator.cc
+++ b/tests/soak/entry_operator.cc
@@ -177,6 +177,7 @@
   const std::string state = deployment_.ProcessState(number);
   if (state == entry.state) return;
   entry.state = state;
+  if (state.find("disk sleep") != std::string::npos) entry.was_on_disk = true;
   Note(number, state);
 }
 
@@ -186,7 +187,7 @@
   if (entry.killed || entry.was_frozen) return;
   if (entry.stopping_since && exit_code == 0) return;
   // The system may take seconds to load a program while the disk is busy.
-  if (entry.stopping_since && !deployment_.HasLogged(number)) {
+  if (entry.was_on_disk && !deployment_.HasLogged(number)) {
     Note(number, "ended before its program had begun");
     return;
   }
--- a/tests/soak/entry_operator.h
+++ b/tests/soak/entry_operator.h
@@ -43,6 +43,7 @@
     std::string state;        ///< At the end of a stop, as the system names it.
     bool killed = false;      ///< The plan kills it.
     bool was_frozen = false;  ///< It may miss its grace.
+    bool was_on_disk = false;  ///< It waited for the disk while it was stopped.
   };
 
   void Apply(const Action& action);
