--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -145,11 +145,11 @@
   net::asio::awaitable<DelegationReply> HandleDelegation(
       jobs::Delegation delegation);
 
-  /// Takes in nothing new from now on: no jobs, cancels, delegations or reports
-  /// of VMs, all of which come again to the next owner. Leases are renewed.
-  /// Waits up to `timeout` until the journal holds all changes made so far.
-  /// Returns whether it then lists every run. An owner that is not ready has
-  /// changed nothing, and returns at once what it was told at its start.
+  /// Accepts no jobs, cancels, delegations or VM reports from now on; their
+  /// senders repeat them to the next owner. Leases are still renewed. Waits up
+  /// to `timeout` until the journal holds all changes made so far, and returns
+  /// whether it then lists every run. An owner that is not ready has changed
+  /// nothing, and returns at once whether its predecessor left it complete.
   net::asio::awaitable<bool> Drain(Millis timeout);
   void Stop();
   bool IsReady() const { return ready_; }
