Log what holds the next starts of long-running tasks

The logs could not tell why a long-running task had no run for 13 s: the oldest waiting task is logged every 2 s, whatever its kind, and nothing says since when a task has no run.

No change of logic.

--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -162,6 +162,7 @@
     last_moved_job_check_ = Now();
     net::Spawn(context_, CheckMovedJob(shared_from_this()), "moved_job_check");
   }
+  LogLongRunningWaits();
   if (!ready_ || Now() - last_summary_log_ < settings_.summary_log_interval)
     return;
   last_summary_log_ = Now();
@@ -187,43 +188,6 @@
   LogOldestWaitingTask(/*best_effort=*/false);
 }
 
-static std::string_view NameOf(jobs::JobTier tier) {
-  switch (tier) {
-    case jobs::JobTier::kStarted:
-      return "started";
-    case jobs::JobTier::kOnTime:
-      return "on_time";
-    case jobs::JobTier::kDeferredStarted:
-      return "deferred_started";
-    case jobs::JobTier::kDeferred:
-      return "deferred";
-  }
-  return "";
-}
-
-void CellOwner::LogOldestWaitingTask(bool best_effort) const {
-  const auto waiting = scheduler_.OldestWaitingTask(best_effort, Now());
-  if (!waiting) return;
-  const jobs::PlacementOptions& options = waiting->options;
-  std::string refused;
-  for (std::size_t i = 0; i < options.refused.size(); ++i) {
-    if (options.refused[i] == 0) continue;
-    refused += " refused_" + std::string(jobs::kPlacementRefusalNames[i]) +
-               "=" + std::to_string(options.refused[i]);
-  }
-  kLog.Info("event=task_waiting job=" + waiting->task.job +
-            " task=" + waiting->task.ToString() + LogFields() +
-            " best_effort=" + std::to_string(best_effort ? 1 : 0) +
-            " age_ms=" + std::to_string(waiting->age.count) +
-            " idle_ms=" + std::to_string(waiting->idle.count) +
-            " tier=" + std::string(NameOf(waiting->tier)) +
-            " may_start=" + std::to_string(waiting->may_start ? 1 : 0) +
-            " vms=" + std::to_string(options.vms) +
-            " open_vms=" + std::to_string(options.open_vms) +
-            " max_pace_percent=" + std::to_string(options.max_pace_percent) +
-            refused);
-}
-
 void CellOwner::RestoreTails(const jobs::TailRecord& record) {
   scheduler_.Tails().Restore(record);
 }
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -42,6 +42,11 @@
   Millis mixed_renewal_wait{500};
   /// Interval of the "cell_state" and "task_waiting" log lines.
   Millis summary_log_interval{2'000};
+  /// Interval of the "long_running_waiting" log lines, their maximum number at
+  /// a time, and how long a task has to be without a run.
+  Millis wait_log_interval{1'000};
+  std::size_t max_logged_waits = 6;
+  Millis min_logged_wait{1'000};
   /// Pause before a renewal that was not answered is repeated.
   Millis renewal_retry_interval{150};
   /// Upper bound of the keys and values in one append, unless a single record
@@ -231,6 +236,8 @@
   bool CheckMayAct();
   /// The cell and the fencing token as log fields, with a leading space.
   std::string LogFields() const;
+  /// Logs what holds the next starts of long-running tasks without a run.
+  void LogLongRunningWaits();
   /// Logs why a task of the job that has waited longest has no place.
   void LogOldestWaitingTask(bool best_effort) const;
   Millis Now() const { return clock_.Monotonic(); }
@@ -257,6 +264,7 @@
   std::optional<Millis> append_started_;  ///< Set while an append is pending.
   std::set<std::string> renewing_vms_;    ///< VMs with a running renewal loop.
   Millis last_summary_log_;
+  Millis last_wait_log_;
   Millis last_plan_;
   net::Timer plan_timer_;
   Millis last_moved_job_check_;
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -81,6 +81,10 @@
   /// For a place in this cell, be the task its own or hosted; 0: does not wait.
   Millis waiting_since;
   Millis waiting_at_host_since;  ///< For a place there; 0: does not wait.
+  bool runs_at_host = false;     ///< As the host has last reported.
+  /// Since when this owner knows of no run of a long-running task that a VM has
+  /// confirmed; 0: there is one, or none is wanted in this cell.
+  Millis without_run_since;
   Millis run_time;  ///< Of the done run; 0: not known, or can have no copies.
   int copies = 0;   ///< That this owner has started.
 
--- a/src/libs/jobs/placer.cc
+++ b/src/libs/jobs/placer.cc
@@ -78,13 +78,18 @@
   return std::nullopt;
 }
 
+bool Placer::MayHostLater(const Vm& vm, const StepSpec& spec,
+                          const std::string& service, Millis now) const {
+  return !GeneralRefusal(vm, spec, service, now) &&
+         spec.Charge().FitsIn(vm.CapacityBesideLongRunning());
+}
+
 Vm* Placer::SelectVmToReserve(const std::vector<Vm*>& vms, const StepSpec& spec,
                               const std::string& service, Millis now) const {
   Vm* best = nullptr;
   for (Vm* vm : vms) {
-    if (GeneralRefusal(*vm, spec, service, now)) continue;
     if (vm->reservation && now < vm->reservation->until) continue;
-    if (!spec.Charge().FitsIn(vm->CapacityBesideLongRunning())) continue;
+    if (!MayHostLater(*vm, spec, service, now)) continue;
     if (best && vm->Free().cpu_millis <= best->Free().cpu_millis) continue;
     best = vm;
   }
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -76,6 +76,11 @@
                          const std::string& service, const TaskRef& ref,
                          const std::vector<Task>& siblings, Millis now) const;
 
+  /// Whether the VM will have room for a run of the step once only long-running
+  /// tasks are left there.
+  bool MayHostLater(const Vm& vm, const StepSpec& spec,
+                    const std::string& service, Millis now) const;
+
   /// Returns the VM that is expected to have capacity for a long-running task
   /// first, once the shorter tasks on it have ended. Null if no VM qualifies or
   /// all that do are reserved.
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -23,6 +23,7 @@
 #include "jobs/job_tier_policy.h"
 #include "jobs/journal_batch.h"
 #include "jobs/late_job_order.h"
+#include "jobs/long_running_wait.h"
 #include "jobs/moved_jobs.h"
 #include "jobs/placer.h"
 #include "jobs/preemption.h"
@@ -226,6 +227,12 @@
   /// nothing runs are preferred. Checks each VM once.
   std::optional<WaitingTask> OldestWaitingTask(bool best_effort,
                                                Millis now) const;
+  /// Returns the long-running tasks that have had no confirmed run for
+  /// `min_age`, at most `max_count` of them, the longest first. Checks each VM
+  /// once for each of them.
+  std::vector<LongRunningWait> LongRunningWaits(Millis min_age,
+                                                std::size_t max_count,
+                                                Millis now) const;
   /// Model of tail latencies and of the images that raise them.
   TailController& Tails() { return tails_; }
   const TailController& Tails() const { return tails_; }
@@ -478,6 +485,13 @@
   void UpdateIdleTime(Job& job, Millis now);
   std::optional<TaskRef> FirstWaitingTask(const Job& job, bool best_effort,
                                           Millis now) const;
+  /// Updates since when the job's long-running tasks have no confirmed run.
+  static void UpdateLongRunningWaits(Job& job, Millis now);
+  /// Precondition: the task has no confirmed run.
+  LongRunningHold HoldOf(const Job& job, const TaskRef& ref, const Task& task,
+                         Millis now) const;
+  /// Returns the VM that is reserved for the task, or null.
+  const Vm* VmReservedFor(const TaskRef& ref, Millis now) const;
   PlacementOptions OptionsFor(const Job& job, const TaskRef& ref,
                               Millis now) const;
   int NextRunNumber(const Job& job, const Task& task) const;
--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -53,6 +53,7 @@
   ++task.delegation;
   task.recalled = false;
   task.waiting_since = task.waiting_at_host_since = Millis(0);
+  task.runs_at_host = false;
   delegating_jobs_.insert(job.id);
   MarkPlacementChanged(job, task);
 }
@@ -164,9 +165,11 @@
   switch (report.state) {
     case DelegationState::kRunning:
       task.waiting_at_host_since = Millis(0);
+      task.runs_at_host = true;
       job.started = true;
       return;
     case DelegationState::kWaiting:
+      task.runs_at_host = false;
       if (task.waiting_at_host_since == Millis(0))
         task.waiting_at_host_since = now;
       if (now - task.waiting_at_host_since >= settings_.max_wait_at_host)
@@ -184,6 +187,7 @@
   task.host_cell = -1;
   task.recalled = false;
   task.waiting_at_host_since = Millis(0);
+  task.runs_at_host = false;
   task.run_base = std::max(task.run_base, report.last_run);
   task.last_run = std::max(task.last_run, report.last_run);
   ApplyResultOfHost(job, ref, report);
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -27,6 +27,7 @@
       PlanRetries(*job, now, commands);
       UpdateTier(*job, now);
       UpdateIdleTime(*job, now);
+      UpdateLongRunningWaits(*job, now);
     }
   }
   if (check) UpdatePreemptions(now);
