Place long-running tasks before those that end, in their own cell or at the host

Callers saw a long-running task without a run for 13 s beside room (LOST). The host was chosen by what was free at that moment, which short tasks had taken on arrival; at the host the task counted as accepted just now, behind all started jobs. While short tasks filled both cells no cell published room at all, and the task was never delegated.

- A long-running task that has run before, is hosted, or has waited for 1 s comes before all tasks that end.
Those make way within seconds, it does not.
- Cells also publish what is left beside long-running tasks, on VMs that are not reserved.
A host is chosen by that if no cell has free room.
- A task for which a VM of its cell is reserved stays for 2 s instead of 0.7 s.
- A host that will have no VM for a hosted task returns it after 0.1 s instead of waiting for its recall, and the home hears of it at once.
A returned task does not wait for 0.7 s again.

--- a/src/libs/cell/cell_balancer.cc
+++ b/src/libs/cell/cell_balancer.cc
@@ -95,11 +95,29 @@
     }
     best = cell;
   }
+  if (!best) return ChooseHostForLater(home_cell, need, excluded);
   // Until the cell publishes its load again, the room counts as taken.
-  if (best) {
-    loads_[*best].largest_room = loads_[*best].largest_room - need;
-    loads_[*best].charged_cpu_millis += need.cpu_millis;
+  loads_[*best].largest_room = loads_[*best].largest_room - need;
+  loads_[*best].charged_cpu_millis += need.cpu_millis;
+  return best;
+}
+
+std::optional<int> CellBalancer::ChooseHostForLater(
+    int home_cell, const records::Resources& need, int excluded) {
+  std::optional<int> best;
+  records::Resources* best_room = nullptr;
+  for (int cell = 0; cell < static_cast<int>(loads_.size()); ++cell) {
+    if (cell == home_cell || cell == excluded) continue;
+    for (records::Resources& room : loads_[cell].long_running_rooms) {
+      if (!need.FitsIn(room)) continue;
+      if (best_room && best_room->cpu_millis >= room.cpu_millis) continue;
+      best = cell;
+      best_room = &room;
+    }
   }
+  if (!best) return best;
+  *best_room = *best_room - need;
+  loads_[*best].charged_cpu_millis += need.cpu_millis;
   return best;
 }
 
--- a/src/libs/cell/cell_balancer.h
+++ b/src/libs/cell/cell_balancer.h
@@ -33,7 +33,8 @@
   /// job to that cell's load.
   int ChooseCell(int home_cell, std::string_view id, const jobs::JobSpec& spec);
   /// Returns the cell that should host a task of `home_cell`, which has no
-  /// place for it: of those with room on a VM, the one with the largest. Empty
+  /// place for it: of those with room on a VM, the one with the largest, or
+  /// else of those that will have room once tasks that end have made way. Empty
   /// if there is none. The cell `excluded` is left out, if it is not -1.
   std::optional<int> ChooseHost(int home_cell, const records::Resources& need,
                                 int excluded);
@@ -48,6 +49,11 @@
                                            int excluded);
 
  private:
+  /// The same by the capacity that is left beside long-running tasks.
+  std::optional<int> ChooseHostForLater(int home_cell,
+                                        const records::Resources& need,
+                                        int excluded);
+
   std::vector<CellLoad> loads_;
 };
 
--- a/src/libs/cell/cell_load.h
+++ b/src/libs/cell/cell_load.h
@@ -27,12 +27,16 @@
   /// Free capacity of the VMs that have the most. Entries of earlier versions,
   /// which can't host tasks that end, publish none.
   std::vector<records::Resources> rooms = {};
+  /// The same without what tasks that end use. Entries of earlier versions
+  /// publish none.
+  std::vector<records::Resources> long_running_rooms = {};
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.capacity_cpu_millis, self.charged_cpu_millis,
             self.waiting_cpu_millis, self.best_effort_cpu_millis,
-            self.largest_room, self.closed, self.rooms);
+            self.largest_room, self.closed, self.rooms,
+            self.long_running_rooms);
   }
 };
 
--- a/src/libs/jobs/cell_summary.h
+++ b/src/libs/jobs/cell_summary.h
@@ -43,6 +43,9 @@
   /// Free capacity of the VMs that accept work and have the most free
   /// processors, in this order; at most kMaxPublishedRooms.
   std::vector<records::Resources> rooms;
+  /// The same without what tasks that end use: capacity that long-running tasks
+  /// may take. VMs that are reserved for one are left out.
+  std::vector<records::Resources> long_running_rooms;
 };
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/delegation_policy.h
+++ b/src/libs/jobs/delegation_policy.h
@@ -56,8 +56,8 @@
                                 const CellCapacity& capacity,
                                 std::optional<Millis> max_wait) const;
 
-  /// Returns how long a task of a step that ends waits for a place at its host
-  /// before the host returns it.
+  /// Returns how long a task waits for a place at its host before the host
+  /// returns it; a long-running one only if it will have no place there.
   Millis MaxWaitAtHost(const StepSpec& spec) const;
 
  private:
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -346,6 +346,9 @@
   /// Whether the delegations are to be sent now. Updates `sent` if so.
   bool IsDue(const Delegation& delegation, SentDelegations& sent,
              Millis now) const;
+  /// How long a long-running task waits here before it is delegated.
+  Millis DelegationDelayOf(const TaskRef& ref, const Task& task,
+                           Millis now) const;
   void OnDelegatedTaskReport(Job& job, const TaskRef& ref,
                              const DelegatedTaskReport& report, Millis now);
   /// Takes over how many VMs the host's runs of the task may have crashed.
@@ -365,7 +368,8 @@
   void ReturnTask(Job& job, Task& task);
   /// The home cell's journal holds the result. Returns the state to report.
   DelegationState Settle(Job* job, const DelegatedTask& wanted);
-  /// Returns hosted tasks that end and have waited too long for a place.
+  /// Returns hosted tasks that end and have waited too long for a place, and
+  /// long-running ones for which no VM of this cell will have room.
   void ReturnWaitingGuests(Millis now);
   /// Plans pass over jobs of which nothing is hosted.
   void UpdateGuestActivity(Job& job);
@@ -487,6 +491,19 @@
   void UpdateIdleTime(Job& job, Millis now);
   std::optional<TaskRef> FirstWaitingTask(const Job& job, bool best_effort,
                                           Millis now) const;
+  /// Whether the task comes before all tasks that end: it has run before, here
+  /// or in another cell, or has waited for long.
+  /// Precondition: the step is long-running.
+  bool IsUrgent(const Task& task, Millis now) const;
+  /// Starts urgent long-running tasks, or reserves VMs for them. Short tasks
+  /// make room within seconds, so that they may not take it from a task that
+  /// lasts.
+  void PlanLongRunningTasks(const std::vector<Vm*>& vms, Millis now,
+                            std::vector<RunCommand>& commands);
+  /// Whether a VM that is not reserved for another task will have room for the
+  /// task once only long-running tasks are left there.
+  bool HasVmForLater(const Job& job, const TaskRef& ref,
+                     const std::vector<Task>& siblings, Millis now) const;
   /// Updates since when the job's long-running tasks have no confirmed run.
   static void UpdateLongRunningWaits(Job& job, Millis now);
   /// Precondition: the task has no confirmed run.
--- a/src/libs/jobs/scheduler_delegated_results.cc
+++ b/src/libs/jobs/scheduler_delegated_results.cc
@@ -153,12 +153,15 @@
       // An owner of an earlier version does not return a task that is done.
       const bool hosted = task.hosting == HostingState::kHosted;
       if (hosted && task.done && !spec.long_running) ReturnTask(*job, task);
-      const bool waits = task.hosting == HostingState::kHosted &&
-                         !spec.long_running && NeedsRun(task, now);
-      if (!waits) return;
+      if (!hosted || !NeedsRun(task, now)) return;
       if (task.waiting_since == Millis(0)) task.waiting_since = now;
-      if (now - task.waiting_since >= delegation_policy_.MaxWaitAtHost(spec))
-        ReturnTask(*job, task);
+      if (now - task.waiting_since < delegation_policy_.MaxWaitAtHost(spec))
+        return;
+      const std::vector<Task>& siblings =
+          job->FindOccurrence(ref.occurrence)->steps[ref.step].tasks;
+      const bool will_start =
+          spec.long_running && HasVmForLater(*job, ref, siblings, now);
+      if (!will_start) ReturnTask(*job, task);
     });
   }
 }
--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -21,13 +21,21 @@
         return;
       }
       if (task.waiting_since == Millis(0)) task.waiting_since = now;
-      if (now - task.waiting_since >= settings_.delegation_delay)
+      if (now - task.waiting_since >= DelegationDelayOf(ref, task, now))
         tasks.push_back(ref);
     });
   }
   return tasks;
 }
 
+Millis Scheduler::DelegationDelayOf(const TaskRef& ref, const Task& task,
+                                    Millis now) const {
+  if (VmReservedFor(ref, now)) return settings_.reserved_delegation_delay;
+  // It has waited here before.
+  const bool returned = now - task.returned_at < settings_.host_cooldown;
+  return returned ? settings_.min_delegation_delay : settings_.delegation_delay;
+}
+
 int Scheduler::CellToAvoid(const TaskRef& ref, Millis now) const {
   const Task* task = jobs_.at(ref.job)->Find(ref);
   const bool cooling = now - task->returned_at < settings_.host_cooldown;
@@ -100,6 +108,16 @@
                      });
 }
 
+/// Whether the host may return a long-running task of which no run is known.
+static bool AwaitsStart(Job& job, const Delegation& delegation) {
+  return std::any_of(delegation.tasks.begin(), delegation.tasks.end(),
+                     [&](const DelegatedTask& wanted) {
+                       const Task* task = job.Find(wanted.RefIn(job.id));
+                       return task && !wanted.settled && !wanted.recalled &&
+                              !task->runs_at_host;
+                     });
+}
+
 std::vector<std::pair<int, Delegation>> Scheduler::DelegationsToSend(
     Millis now) {
   std::vector<std::pair<int, Delegation>> due;
@@ -113,7 +131,7 @@
     }
     const std::string& id = *it++;
     for (auto& [cell, delegation] : DelegationsOf(*job)) {
-      if (HasTasksThatEnd(*job, delegation))
+      if (HasTasksThatEnd(*job, delegation) || AwaitsStart(*job, delegation))
         delegation.wait_ms = settings_.max_delegation_hold.count;
       if (!IsDue(delegation, delegations_sent_[{id, cell}], now)) continue;
       delegation.record = job->record;
--- a/src/libs/jobs/scheduler_long_running.cc
+++ b/src/libs/jobs/scheduler_long_running.cc
@@ -27,6 +27,38 @@
   });
 }
 
+bool Scheduler::IsUrgent(const Task& task, Millis now) const {
+  if (task.hosting == HostingState::kHosted || task.last_run > 0) return true;
+  return task.without_run_since != Millis(0) &&
+         now - task.without_run_since >= settings_.max_first_start_delay;
+}
+
+void Scheduler::PlanLongRunningTasks(const std::vector<Vm*>& vms, Millis now,
+                                     std::vector<RunCommand>& commands) {
+  for (const auto& [key, job] : active_jobs_) {
+    if (!job->record.spec.IsLongRunning() || !CanStartRuns(*job)) continue;
+    job->ForEachTask([&, job = job](const TaskRef& ref, Task& task) {
+      const StepSpec& spec = job->record.spec.steps[ref.step];
+      if (!spec.long_running || spec.gang || !NeedsRun(task, now)) return;
+      const Occurrence& occurrence = *job->FindOccurrence(ref.occurrence);
+      if (!IsUrgent(task, now) || !job->DependenciesDone(occurrence, ref.step))
+        return;
+      PlanTask(*job, ref, vms, now, commands);
+    });
+  }
+}
+
+bool Scheduler::HasVmForLater(const Job& job, const TaskRef& ref,
+                              const std::vector<Task>& siblings,
+                              Millis now) const {
+  const StepSpec& spec = job.record.spec.steps[ref.step];
+  return std::any_of(vms_.begin(), vms_.end(), [&](const auto& entry) {
+    const Vm& vm = *entry.second;
+    return !vm.ReservationOfOther(ref, now) &&
+           placer_.MayHostLater(vm, spec, job.record.service, siblings, now);
+  });
+}
+
 const Vm* Scheduler::VmReservedFor(const TaskRef& ref, Millis now) const {
   for (const auto& [id, vm] : vms_) {
     if (vm->reservation && now < vm->reservation->until &&
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -34,6 +34,7 @@
   if (check && settings_.complete_late_jobs) RankLateJobs(now);
   if (check) ReturnWaitingGuests(now);
   if (check) PlanReliefRuns(vms, now, commands);
+  PlanLongRunningTasks(vms, now, commands);
   for (const Turn& turn : TurnsInSchedulingOrder()) {
     if (!CanStartRuns(*turn.job)) continue;
     backfill_.BeginPriority(turn.job->record.priority, vms, now);
@@ -153,10 +154,13 @@
   const std::vector<Task>& tasks = occurrence.steps[step].tasks;
   for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
     if (!NeedsRun(tasks[index], now)) continue;
+    const bool long_running = job.record.spec.steps[step].long_running;
+    // PlanLongRunningTasks has tried it.
+    if (long_running && IsUrgent(tasks[index], now)) continue;
     const TaskRef ref{job.id, occurrence.number, step, index};
     if (PlanTask(job, ref, vms, now, commands)) continue;
     // Each long-running task gets a VM of its own reserved.
-    if (!job.record.spec.steps[step].long_running) return;
+    if (!long_running) return;
   }
 }
 
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -56,6 +56,9 @@
   /// many, or this percentage of the VMs if that is more.
   int max_reservations = 4;
   int max_reserved_vms_percent = 20;
+  /// How long a long-running task that has not run yet takes its turn by the
+  /// order of jobs, before it comes ahead of all tasks that end.
+  Millis max_first_start_delay{1'000};
   /// Time after which a reservation expires unless it is renewed.
   Millis reservation_duration{500};
   /// Maximum number of starts of large tasks that are planned at a time: see
@@ -65,6 +68,8 @@
   int max_concurrent_evacuations = 8;
   /// How long a long-running task waits for a place before it is delegated.
   Millis delegation_delay{700};
+  /// The same if a VM of its cell is reserved for it.
+  Millis reserved_delegation_delay{2'000};
   /// The same for a task that ends and that no VM of its cell will have room
   /// for, so that at least two plans have found no place.
   Millis min_delegation_delay{100};
--- a/src/libs/jobs/scheduler_status.cc
+++ b/src/libs/jobs/scheduler_status.cc
@@ -66,6 +66,18 @@
   }
 }
 
+/// Keeps the rooms with the most processors that are to be published.
+static void KeepLargest(std::vector<records::Resources>& rooms) {
+  const std::size_t kept = std::min(rooms.size(), kMaxPublishedRooms);
+  std::partial_sort(
+      rooms.begin(), rooms.begin() + static_cast<std::ptrdiff_t>(kept),
+      rooms.end(),
+      [](const records::Resources& a, const records::Resources& b) {
+        return a.cpu_millis > b.cpu_millis;
+      });
+  rooms.resize(kept);
+}
+
 CellSummary Scheduler::Summary(Millis now) const {
   CellSummary summary;
   summary.preempted_runs = preemption_policy_.StopCount();
@@ -99,22 +111,19 @@
     const records::Resources free = vm->Free();
     if (vm->reachable && free.cpu_millis > summary.largest_room.cpu_millis)
       summary.largest_room = free;
-    const bool has_room = vm->reachable && vm->in_journal &&
-                          !vm->lease_bound_recorded && !vm->lease_expired &&
-                          now >= vm->quarantined_until &&
-                          !vm->ReservationOfOther({}, now) &&
-                          free.cpu_millis > 0 && free.memory_mib > 0;
-    if (has_room) summary.rooms.push_back(free);
+    const bool is_open = vm->reachable && vm->in_journal &&
+                         !vm->lease_bound_recorded && !vm->lease_expired &&
+                         now >= vm->quarantined_until &&
+                         !vm->ReservationOfOther({}, now);
+    if (is_open && free.cpu_millis > 0 && free.memory_mib > 0)
+      summary.rooms.push_back(free);
+    if (is_open)
+      summary.long_running_rooms.push_back(vm->CapacityBesideLongRunning());
     summary.free_cpu_millis += free.cpu_millis;
     summary.capacity_cpu_millis += vm->listing.capacity.cpu_millis;
   }
-  const std::size_t kept = std::min(summary.rooms.size(), kMaxPublishedRooms);
-  std::partial_sort(
-      summary.rooms.begin(), summary.rooms.begin() + kept, summary.rooms.end(),
-      [](const records::Resources& a, const records::Resources& b) {
-        return a.cpu_millis > b.cpu_millis;
-      });
-  summary.rooms.resize(kept);
+  KeepLargest(summary.rooms);
+  KeepLargest(summary.long_running_rooms);
   return summary;
 }
 
