Log since when a host serves no delegations, and whether a recall waits

The home cell's owner now keeps since when each host cell has served nothing (HostContacts) and logs that, at most once a second for each silent host, with whether the request recalled tasks. No change of logic.

--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "cell/cell_load.h"
 #include "cell/delegation_messages.h"
+#include "cell/host_contacts.h"
 #include "cell/peer_messages.h"
 #include "cell/signal.h"
 #include "cell/store.h"
@@ -216,6 +217,8 @@
   void SendDueDelegations();
   net::asio::awaitable<void> SendDelegation(std::shared_ptr<CellOwner> self,
                                             DelegationRequest request);
+  /// No delegation to the host cell was served.
+  void LogSilentHost(int host, const std::string& job, bool recalls);
   net::asio::awaitable<JobReply> Cancel(const JobRequest& request);
   /// Logs the report if the VM's worker is not the one known so far.
   void LogWorkerStart(const std::string& vm,
@@ -268,6 +271,7 @@
   Millis last_plan_;
   net::Timer plan_timer_;
   Millis last_moved_job_check_;
+  HostContacts host_contacts_;
   bool predecessors_stopped_ = false;
   bool plan_scheduled_ = false;
   bool ready_ = false;
--- a/src/libs/cell/cell_owner_delegations.cc
+++ b/src/libs/cell/cell_owner_delegations.cc
@@ -9,6 +9,7 @@
 namespace basilspur::cell {
 
 static constexpr LogCategory kLog("cell");
+static constexpr Millis kSilentHostLogInterval(1'000);
 
 void CellOwner::SyncDelegations() {
   if (!ready_ || draining_ || stopped_) return;
@@ -66,6 +67,7 @@
   if (due.empty() || !CheckMayAct()) return;
   for (auto& [cell, delegation] : due) {
     delegation.record.home_cell = ownership_.cell;
+    host_contacts_.OnSent(cell, Now());
     net::Spawn(
         context_,
         SendDelegation(shared_from_this(), {cell, std::move(delegation)}),
@@ -78,10 +80,18 @@
     DelegationRequest request) {
   const int host = request.cell;
   const std::string job = request.delegation.job;
+  const bool recalls = std::any_of(
+      request.delegation.tasks.begin(), request.delegation.tasks.end(),
+      [](const jobs::DelegatedTask& task) { return task.recalled; });
   const DelegationReply reply =
       co_await callbacks_.send_delegation(std::move(request));
   // The host repeats its report to the next owner.
-  if (stopped_ || draining_ || !reply.served) co_return;
+  if (stopped_ || draining_) co_return;
+  if (!reply.served) {
+    LogSilentHost(host, job, recalls);
+    co_return;
+  }
+  host_contacts_.OnServed(host);
   scheduler_.OnDelegationReport(job, host, reply.report, Now());
   for (const jobs::DelegatedTaskReport& row : reply.report.tasks) {
     if (row.state != jobs::DelegationState::kReturned) continue;
@@ -97,6 +107,16 @@
   NotifyJournalWriter();
 }
 
+void CellOwner::LogSilentHost(int host, const std::string& job, bool recalls) {
+  if (!host_contacts_.ShouldLog(host, kSilentHostLogInterval, Now())) return;
+  kLog.Info(
+      "event=host_silent reason=\"its owner has served no delegation; they are "
+      "sent again\"" +
+      LogFields() + " host=" + std::to_string(host) + " silent_ms=" +
+      std::to_string(host_contacts_.SilenceOf(host, Now()).count) +
+      " job=" + job + " recalls=" + std::to_string(recalls ? 1 : 0));
+}
+
 net::asio::awaitable<DelegationReply> CellOwner::HandleDelegation(
     jobs::Delegation delegation) {
   const auto self = shared_from_this();
