End hosted tasks of cancelled jobs at hosts that answer no entry

Cause: a delegated task is recalled by a request to the owner of its host cell, and by nothing else. An owner that is cut off from the other entries, or reads their requests after they have given up, keeps its cell as long as it renews in the store, and renews its VMs' leases, so the task runs on for as long as that lasts. Traced in the simulation: the job's own runs get their stop at the cancel, and the two hosted ones get no order until the path is back.

Change: while a host has served no delegation for 0.7 s, the home cell's owner lists the jobs that have ended and have tasks there in a record beside its owner record, with its renewal, so that only the owner in force can write it. A host that has not heard of a home cell for 1.5 s reads that record every 0.5 s and returns the tasks listed. A request counts as heard only if the host had served one shortly before it was sent (`Delegation::unserved_ms`, new at the end): others may be seconds old. A task that no record lists runs on, however long its home cell is away. With answering hosts there is no further message, and no call to the store but one empty record with an ownership's first renewal, which clears recalls of earlier owners.

Ruled out by reading: a recall that a successor in the home cell forgets (it restores the delegation with the ended job), a guest restored as not hosted (no start before that is durable), a start carried out late (its stop is repeated until a report rules the run out).

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -24,7 +24,7 @@
       clock_(clock),
       identity_(std::move(identity)),
       cell_(position.cell),
-      partition_{"keyed.owners", position.cell},
+      partition_{kOwnersTopic, position.cell},
       slow_machine_(settings.slow_machine_delay > Millis(0)),
       election_(settings, identity_.node, identity_.incarnation, seed),
       follow_policy_(position.cells, MixBits(seed)),
@@ -262,6 +262,9 @@
     published_tails_ = owner_->SchedulerState().Tails().MakeRecord();
     records.push_back({kTailsKey, records::Encode(*published_tails_), 0});
   }
+  const std::optional<RecallRecord> recalls =
+      owner ? owner->CollectRecalls() : std::nullopt;
+  if (recalls) records.push_back({kRecallsKey, records::Encode(*recalls), 0});
   const auto count = static_cast<std::int64_t>(records.size());
   const AppendAnswer answer =
       co_await store_.AppendAt(partition_, expected_end, std::move(records));
@@ -273,6 +276,7 @@
         election_.OnRenewed(answer.offset + count - 1, sent, now);
         load_published_ = load_published_ || publishes_load;
         if (owner) owner->OnUnreachableVmsRecorded(unreachable_vms);
+        if (recalls) owner->OnRecallsRecorded(*recalls);
       }
       break;
     case AppendOutcome::kConflict:
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -157,6 +157,7 @@
   batch_durable_.NotifyAll();
   SchedulePlan();
   SyncDelegations();
+  CheckHomes();
   if (ready_ && !draining_ &&
       Now() - last_moved_job_check_ >= settings_.moved_job_check_interval) {
     last_moved_job_check_ = Now();
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -7,12 +7,16 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "cell/cell_load.h"
 #include "cell/delegation_messages.h"
+#include "cell/home_contacts.h"
 #include "cell/host_contacts.h"
+#include "cell/owner_record.h"
 #include "cell/peer_messages.h"
+#include "cell/recall_record.h"
 #include "cell/signal.h"
 #include "cell/store.h"
 #include "cell/vm_client.h"
@@ -174,6 +178,13 @@
       const std::vector<jobs::UnreachableVm>& recorded) {
     scheduler_.OnUnreachableVmsRecorded(recorded);
   }
+  /// Returns the recalls to write with a renewal of the ownership; empty: those
+  /// in the store are up to date.
+  std::optional<RecallRecord> CollectRecalls();
+  /// The record is in the store.
+  void OnRecallsRecorded(const RecallRecord& recorded) {
+    recalls_are_clear_ = recorded.jobs.empty();
+  }
   /// The cell's load; its capacity is 0 until the owner is ready.
   CellLoad Load() const;
 
@@ -217,6 +228,11 @@
   void SendDueDelegations();
   net::asio::awaitable<void> SendDelegation(std::shared_ptr<CellOwner> self,
                                             DelegationRequest request);
+  /// Reads the recalls of home cells that are not heard of.
+  void CheckHomes();
+  net::asio::awaitable<void> ReadRecalls(std::shared_ptr<CellOwner> self,
+                                         std::vector<int> homes);
+  void ApplyRecalls(int home, const KeyedRecord& record);
   /// No delegation to the host cell was served.
   void LogSilentHost(int host, const std::string& job, bool recalls);
   net::asio::awaitable<JobReply> Cancel(const JobRequest& request);
@@ -272,6 +288,12 @@
   net::Timer plan_timer_;
   Millis last_moved_job_check_;
   HostContacts host_contacts_;
+  HomeContacts home_contacts_;
+  std::string last_listed_recall_;  ///< Last job of the newest recall record.
+  /// The store holds no recalls of this cell; false: it may, also such of
+  /// earlier owners.
+  bool recalls_are_clear_ = false;
+  bool reading_recalls_ = false;
   bool predecessors_stopped_ = false;
   bool plan_scheduled_ = false;
   bool ready_ = false;
--- a/src/libs/cell/cell_owner_delegations.cc
+++ b/src/libs/cell/cell_owner_delegations.cc
@@ -67,6 +67,7 @@
   if (due.empty() || !CheckMayAct()) return;
   for (auto& [cell, delegation] : due) {
     delegation.record.home_cell = ownership_.cell;
+    delegation.unserved_ms = host_contacts_.SilenceOf(cell, Now()).count;
     host_contacts_.OnSent(cell, Now());
     net::Spawn(
         context_,
@@ -120,6 +121,8 @@
 net::asio::awaitable<DelegationReply> CellOwner::HandleDelegation(
     jobs::Delegation delegation) {
   const auto self = shared_from_this();
+  home_contacts_.OnDelegation(delegation.record.home_cell,
+                              Millis(delegation.unserved_ms), Now());
   const Millis hold = std::min(Millis(delegation.wait_ms),
                                settings_.scheduler.max_delegation_hold);
   const Millis deadline = Now() + hold;
--- a/src/libs/cell/owner_record.h
+++ b/src/libs/cell/owner_record.h
@@ -9,6 +9,9 @@
 
 namespace basilspur::cell {
 
+/// The topic of owner records. The partition is the cell.
+inline constexpr char kOwnersTopic[] = "keyed.owners";
+
 /// A previous owner that may still act, because it has not confirmed that it
 /// stepped down.
 struct FormerOwner {
--- a/src/libs/jobs/delegation.h
+++ b/src/libs/jobs/delegation.h
@@ -54,10 +54,13 @@
   std::vector<DelegatedTask> tasks;
   /// How long the host may keep back its answer until there is news.
   std::int64_t wait_ms = 0;
+  /// How long the host had served no delegation of the home cell when this one
+  /// was sent.
+  std::int64_t unserved_ms = 0;
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
-    archive(self.job, self.record, self.tasks, self.wait_ms);
+    archive(self.job, self.record, self.tasks, self.wait_ms, self.unserved_ms);
   }
 };
 
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -209,6 +209,16 @@
   /// Serves another cell's delegation. The report has no rows if it can't be
   /// served.
   DelegationReport Host(const Delegation& delegation, std::int64_t wall_ms);
+  /// Returns ended jobs with tasks at one of the host cells, at most
+  /// `max_count`, in the order of their ids from `after` on and around.
+  std::vector<std::string> EndedJobsAt(const std::set<int>& hosts,
+                                       const std::string& after,
+                                       std::size_t max_count);
+  /// Returns the cells that have delegated tasks to this one.
+  std::set<int> HomesOfHostedTasks() const;
+  /// These jobs of the home cell have ended. Recalls the hosted tasks of those
+  /// that are known here, and returns how many there are.
+  int RecallHosted(int home_cell, const std::vector<std::string>& ended_jobs);
 
   /// Returns the commands to send now. Call after events and about every 100
   /// ms.
--- a/tests/sim/link_faults.h
+++ b/tests/sim/link_faults.h
@@ -33,6 +33,8 @@
   StoreAccess store = StoreAccess::kNormal;
   bool peers_cut = false;
   std::set<int> cut_nodes;  ///< Nodes that get no messages of this one.
+  /// How long the node takes to read a request of another node.
+  Millis request_delay;
   /// Added to the delay of the list of VMs and of its changes.
   Millis directory_delay;
   std::set<std::string> cut_vms;    ///< Ids of VMs without a path.
@@ -51,7 +53,7 @@
   bool IsInTouch(Millis now) const {
     const bool reaches_all = store == StoreAccess::kNormal && !peers_cut &&
                              cut_nodes.empty() && cut_vms.empty() &&
-                             lossy_vms.empty();
+                             lossy_vms.empty() && request_delay == Millis(0);
     return reaches_all && now >= in_touch_from;
   }
 };
--- a/tests/sim/promise_checker.h
+++ b/tests/sim/promise_checker.h
@@ -75,6 +75,10 @@
     return shown_as_done_.contains(job);
   }
   bool IsRunning(const jobs::TaskRef& task) const;
+  /// Whether a caller was told that the job is cancelled.
+  bool IsCancelled(const std::string& job) const {
+    return cancelled_.contains(job);
+  }
   /// No faults occur, so the other runs of a task that is done end in time.
   void ExpectTimelyStops() { expects_timely_stops_ = true; }
   /// Number of runs that were started while another run of the task was on a
--- a/tests/sim/simulated_cell_peers.cc
+++ b/tests/sim/simulated_cell_peers.cc
@@ -35,6 +35,8 @@
   if (!nodes_[to]) {
     co_return Result<Reply>(Error{ErrorCode::kRefused, "connect", "", ""});
   }
+  const Millis delay = faults_[to].request_delay;
+  if (delay > Millis(0)) co_await net::Sleep(delay);
   const std::optional<Reply> reply = co_await serve();
   co_await net::Sleep(Millis(1 + static_cast<int>(random_.Below(5))));
   if (!reply || IsCut(to, from)) co_return std::nullopt;
