Drop peer calls whose sender has gone, and accept connections in batches

Cause, one part of it: the listener between entries accepted one connection in each round of the event loop, some 30 a second on 0.069 of a core, and handled each request although its sender had given up and closed the connection seconds before. So the queue of connections stayed full of those.

Change: the server accepts up to 64 waiting connections at once. On the listener between entries, a request whose connection its sender has closed is not handled; it is logged with its age and counted (basilspur_peer_calls_abandoned_total). The age of a request when it is read is the time since its last data has arrived, which the kernel knows (TCP_INFO), so it includes the time in the queue of the listener. The listener for callers handles all requests, as a caller may close its sending side only.

--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -76,6 +76,8 @@
   /// Serves another entry's call. Answers 400 if it is not understood.
   net::asio::awaitable<net::HttpResponse> HandlePeerCall(
       net::HttpRequest request);
+  /// Another entry has given its call up after `age`, before it was handled.
+  void OnPeerCallAbandoned(Millis age) { forwarder_.OnCallAbandoned(age); }
   /// Hands over all cells, and returns after `limit` at the latest. Callers are
   /// still served. Returns whether no cell is left.
   net::asio::awaitable<bool> Leave(Millis limit);
--- a/src/libs/cell/request_forwarder.cc
+++ b/src/libs/cell/request_forwarder.cc
@@ -362,6 +362,12 @@
   co_return reply;
 }
 
+void RequestForwarder::OnCallAbandoned(Millis age) {
+  ++counters_.abandoned;
+  kLog.Info("event=peer_call_abandoned age_ms=" + std::to_string(age.count) +
+            " abandoned=" + std::to_string(counters_.abandoned));
+}
+
 void RequestForwarder::NoteOwnerReply(CellMember& member,
                                       const OwnerRecord& owner,
                                       const JobReply& reply) {
--- a/src/libs/cell/request_forwarder.h
+++ b/src/libs/cell/request_forwarder.h
@@ -65,6 +65,9 @@
     /// those of them whose sender had stopped waiting.
     std::int64_t answered_as_owner = 0;
     std::int64_t answered_too_late = 0;
+    /// Calls of other entries that were not handled: the sender had closed the
+    /// connection.
+    std::int64_t abandoned = 0;
   };
 
   /// Precondition: the references outlive the object, and the object outlives
@@ -80,6 +83,9 @@
   /// it on if the other entry asks for that.
   net::asio::awaitable<JobReply> ServePeer(JobRequest request);
 
+  /// Another entry has given its call up after `age`, before it was handled.
+  void OnCallAbandoned(Millis age);
+
   /// Ends all requests by this time, begun ones and later ones: those that have
   /// not been sent to an owner with a refusal, others as in doubt.
   void LimitReplies(Millis reply_by);
--- a/src/libs/net/http_message.h
+++ b/src/libs/net/http_message.h
@@ -4,6 +4,8 @@
 #include <map>
 #include <string>
 
+#include "base/clock.h"
+
 namespace basilspur::net {
 
 /// A complete HTTP request in memory, for small control messages.
@@ -12,6 +14,9 @@
   std::string target = "/";
   std::map<std::string, std::string> headers;
   std::string body;
+  /// Set by ServeHttp: how long the request had been waiting on this machine
+  /// when it was read. 0 if that is not known.
+  Millis age = Millis(0);
 };
 
 /// A complete HTTP response in memory, for small control messages.
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -11,6 +11,7 @@
 
 #include "net/address.h"
 #include "net/http_shutdown.h"
+#include "net/request_arrival.h"
 #include "net/server_socket.h"
 #include "net/spawn.h"
 
@@ -21,6 +22,9 @@
 
 static constexpr std::chrono::seconds kIdleTimeout(60);
 static constexpr Millis kAcceptRetryInterval(50);
+/// Connections accepted at once, so that a slow machine does not accept only
+/// one in each round of its event loop.
+static constexpr int kMaxAcceptBatch = 64;
 /// How long the server waits for the peer to close after the last response.
 static constexpr std::chrono::milliseconds kLingerTimeout(500);
 /// In a shutdown, a new connection is left open this long for its first
@@ -109,7 +113,10 @@
 class ServerListener final : public ServerSocket {
  public:
   ServerListener(asio::ip::tcp::acceptor acceptor, HttpShutdown* shutdown)
-      : ServerSocket(shutdown), acceptor_(std::move(acceptor)) {}
+      : ServerSocket(shutdown), acceptor_(std::move(acceptor)) {
+    error_code ignored;
+    acceptor_.non_blocking(true, ignored);
+  }
 
   asio::ip::tcp::acceptor& Acceptor() { return acceptor_; }
 
@@ -201,10 +208,16 @@
       co_await RejectRequest(stream, http::error::bad_transfer_encoding);
       co_return true;
     }
+    const Millis age = TimeSinceLastData(stream.socket());
+    if (state->options.on_abandoned && IsClosedByPeer(stream.socket())) {
+      state->options.on_abandoned(age);
+      co_return false;
+    }
     const ActiveRequest active(state->options.active_requests);
     const bool client_keeps_alive = parser.get().keep_alive();
-    HttpResponse response =
-        co_await state->handler(ToRequest(parser.release()));
+    HttpRequest request = ToRequest(parser.release());
+    request.age = age;
+    HttpResponse response = co_await state->handler(std::move(request));
     const bool keep_alive = client_keeps_alive && !state->IsShuttingDown();
     http::response<http::string_body> message(
         static_cast<http::status>(response.status), 11);
@@ -227,6 +240,31 @@
   if (responded) co_await CloseAfterResponse(connection->Stream());
 }
 
+static void StartConnection(asio::io_context& context,
+                            asio::ip::tcp::socket socket,
+                            const SharedServerState& state) {
+  error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  auto connection = std::make_unique<ServerConnection>(std::move(socket),
+                                                       state->options.shutdown);
+  // If the handler fails, the caller gets no answer: it is not known what was
+  // done.
+  Spawn(context, ServeConnection(std::move(connection), state),
+        "http_connection");
+}
+
+/// Accepts the connections that wait already, up to kMaxAcceptBatch.
+static void AcceptWaiting(asio::io_context& context,
+                          asio::ip::tcp::acceptor& acceptor,
+                          const SharedServerState& state) {
+  for (int i = 0; i < kMaxAcceptBatch; ++i) {
+    error_code failure;
+    asio::ip::tcp::socket socket = acceptor.accept(failure);
+    if (failure) return;
+    StartConnection(context, std::move(socket), state);
+  }
+}
+
 static asio::awaitable<void> AcceptLoop(
     asio::io_context& context, std::unique_ptr<ServerListener> listener,
     SharedServerState state) {
@@ -240,14 +278,8 @@
       co_await Sleep(kAcceptRetryInterval);
       continue;
     }
-    error_code ignored;
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    // If the handler fails, the caller gets no answer: it is not known what was
-    // done.
-    auto connection = std::make_unique<ServerConnection>(
-        std::move(socket), state->options.shutdown);
-    Spawn(context, ServeConnection(std::move(connection), state),
-          "http_connection");
+    StartConnection(context, std::move(socket), state);
+    AcceptWaiting(context, acceptor, state);
   }
 }
 
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 
+#include "base/clock.h"
 #include "base/result.h"
 #include "net/asio.h"
 #include "net/http_message.h"
@@ -21,6 +22,10 @@
   /// Number of requests that are being answered, kept up to date by the server;
   /// may be null.
   int* active_requests = nullptr;
+  /// If set, a request is not handled if its sender has closed the connection
+  /// meanwhile, and its age is reported here. For senders that close when they
+  /// stop waiting, and that never close only their sending side before.
+  std::function<void(Millis age)> on_abandoned = {};
 };
 
 /// Answers one request.
