Back off with probes of an owner that does not answer

Cause, one part of it: an entry that doubted an owner probed it each 200 ms, whether earlier probes were still under way or not, each in a new connection, and each time-out renewed the doubt. 35 entries sent up to 175 probes a second to an owner that answered 30.

Change: an entry has one probe of an owner under way at a time.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -204,9 +204,14 @@
 void CellMember::Tick(int owned) {
   const Millis now = clock_.Monotonic();
   UpdateFollowing();
-  if (follow_policy_.ShouldProbe(Knowledge(), owned > 0, now)) {
+  const auto& known = election_.Owner();
+  const bool probe_pending = known && known->incarnation == probed_owner_;
+  if (!probe_pending &&
+      follow_policy_.ShouldProbe(Knowledge(), owned > 0, now)) {
+    probed_owner_ = known->incarnation;
     net::Spawn(context_, ProbeOwner(*election_.Owner(), owned > 0),
-               "owner_probe");
+               "owner_probe",
+               [self = shared_from_this()] { self->probed_owner_.clear(); });
   }
   if (election_.IsExpired(now)) {
     kLog.Warning(
--- a/src/libs/cell/cell_member_following.cc
+++ b/src/libs/cell/cell_member_following.cc
@@ -51,12 +51,14 @@
   if (probe.wants_tails) last_tails_request_ = clock_.Monotonic();
   const Result<OwnerProbeReply> answer =
       co_await callbacks_.probe_peer(owner.address, std::move(probe));
+  if (probed_owner_ == owner.incarnation) probed_owner_.clear();
   const bool refused =
       !IsOk(answer) && ErrorOf(answer).code == ErrorCode::kRefused;
   const bool replaced =
       IsOk(answer) && ValueOf(answer).incarnation != owner.incarnation;
   if (refused || replaced) OnOwnerTerminated(owner.incarnation);
   if (!IsOk(answer) || !ValueOf(answer).owns) {
+    if (!IsOk(answer)) follow_policy_.OnProbeUnanswered(clock_.Monotonic());
     OnOwnerDoubted();
     co_return;
   }
@@ -82,6 +84,7 @@
   const auto& owner = election_.Owner();
   const std::string incarnation = owner ? owner->incarnation : "";
   if (incarnation != incarnation_before) {
+    follow_policy_.OnOwnerChanged();
     outlook_.OnOwnerChanged(clock_.Monotonic());
   } else if (owner) {
     outlook_.OnOwnerRenewed();
