Release a cell whose owner reads its requests too late

Cause: what makes an owner give its cell up were late ticks alone (LagWatch). Ticks can be on time while requests wait for seconds in the queue of the listener.

Change: ServiceWatch counts, for each cell that an entry owns, how long requests of other entries had waited on this machine when they were read. If at least half of them waited for over 0.5 s, in each window over 1 s, the cell is released; entries in doubt read its records and claim it. The number of releases in a row stands in the owner record (a new last field), and each doubles the time to the next one, up to 64 s; 30 s without late requests set it to 0. So a slow entry that is the best there is keeps the cell longer and longer. An entry that has released a cell claims it again after 3 s if no other one has.

A request whose time has passed is refused before it is handled, and the time limit of others is reduced by their age. New: the log lines owner_requests_late (two a second and cell at most) and peer_request_expired, the metrics of requests read, their ages, and those expired.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -126,6 +126,7 @@
   ownership.journal_complete = election_.HasCompleteJournal();
   ownership.unreachable_vms = unreachable_vms_;
   owner_started_ = clock_.Monotonic();
+  service_watch_.Start(owner_started_);
   owner_ = callbacks_.make_owner(ownership, MakeStanding());
   owner_->Start();
   for (const FormerOwner& former : election_.FormerOwners()) {
@@ -222,6 +223,7 @@
   }
   if (owner_) owner_->Tick();
   YieldOverdueTakeOver(now);
+  YieldUnservedCell(now);
   if (appending_ || leaving_ || yielding_) return;
   // A new owner publishes its load at once: hundreds of jobs may arrive
   // together and are assigned by the published loads.
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -11,6 +11,7 @@
 #include "cell/follow_policy.h"
 #include "cell/owner_outlook.h"
 #include "cell/owner_probe.h"
+#include "cell/service_watch.h"
 #include "cell/store.h"
 #include "cell/topic_watcher.h"
 
@@ -106,6 +107,11 @@
   bool IsAuthoritative() const {
     return owner_ && election_.IsAuthoritative(clock_.Monotonic());
   }
+  /// A request of another entry was read, or found abandoned, after it had
+  /// waited for `age` on this machine.
+  void OnRequestRead(Millis age) {
+    if (owner_) service_watch_.OnRequest(age);
+  }
   /// Serves another entry's probe.
   OwnerProbeReply HandleProbe(const OwnerProbe& probe);
   /// Whether the member follows the cell's records in the store.
@@ -147,6 +153,9 @@
   void UpdateUnreachableVms(const OwnerRecord& record);
   /// Yields the cell if the owner needs too long to take it over.
   void YieldOverdueTakeOver(Millis now);
+  /// Yields the cell if other entries' requests wait too long here.
+  void YieldUnservedCell(Millis now);
+  void LogLateRequests() const;
   /// Creates or stops the owner so that it matches the election.
   void SyncOwner();
   /// Releases the cell if this node owns it or a pending claim makes it the
@@ -193,6 +202,7 @@
   std::size_t max_candidates_;
   CandidateList candidates_;  ///< Of this node's ownership.
   OwnerOutlook outlook_;
+  ServiceWatch service_watch_;
   /// As written with this ownership's newest renewals, for probes.
   CellLoad published_load_;
   std::optional<jobs::TailRecord> published_tails_;
@@ -211,6 +221,7 @@
   bool appending_ = false;
   bool leaving_ = false;
   bool yielding_ = false;
+  bool overloaded_ = false;  ///< While it yields for that.
   bool handing_over_ = false;
   Millis no_campaign_before_;  ///< End of the cooldown after a yield.
 };
--- a/src/libs/cell/cell_member_hand_over.cc
+++ b/src/libs/cell/cell_member_hand_over.cc
@@ -17,6 +17,8 @@
 /// though its renewals reach the store, leaves the cell to another one.
 static constexpr Millis kTakeOverTimeout(5'000);
 static constexpr Millis kTakeOverCooldown(15'000);
+/// Another entry takes the cell within this time, if there is one.
+static constexpr Millis kOverloadCooldown(3'000);
 
 net::asio::awaitable<void> CellMember::Leave(Millis limit) {
   const auto self = shared_from_this();
@@ -39,6 +41,29 @@
              "cell_yield");
 }
 
+void CellMember::LogLateRequests() const {
+  const ServiceWatch::Window& window = service_watch_.LastWindow();
+  kLog.Info(
+      "event=owner_requests_late cell=" + std::to_string(cell_) + " requests=" +
+      std::to_string(window.requests) + " late=" + std::to_string(window.late) +
+      " max_age_ms=" + std::to_string(window.max_age.count) +
+      " overload_releases=" + std::to_string(election_.OverloadReleases()));
+}
+
+void CellMember::YieldUnservedCell(Millis now) {
+  if (!owner_ || leaving_ || yielding_) return;
+  const bool release =
+      service_watch_.ShouldRelease(election_.OverloadReleases(), now);
+  if (service_watch_.HasLateWindow(now)) LogLateRequests();
+  if (service_watch_.HasRecovered(now)) election_.ClearOverloadReleases();
+  // Without stored renewals, other nodes take the cell without a release.
+  if (!release || !election_.IsAuthoritative(now)) return;
+  overloaded_ = true;
+  net::Spawn(context_,
+             Yield(kOverloadCooldown, "other entries' requests wait too long"),
+             "cell_yield");
+}
+
 net::asio::awaitable<void> CellMember::Yield(Millis cooldown,
                                              const char* reason) {
   const auto self = shared_from_this();
@@ -48,7 +73,7 @@
                " reason=\"" + reason + "; handing over to another node\"");
   co_await HandOver(kDrainTimeout);
   no_campaign_before_ = clock_.Monotonic() + cooldown;
-  yielding_ = false;
+  yielding_ = overloaded_ = false;
 }
 
 void CellMember::StartHandOver() {
@@ -88,6 +113,7 @@
   OwnerRecord record = election_.MakeRenewalRecord(identity_.peer_address);
   record.vacant = true;
   record.journal_complete = journal_complete;
+  if (overloaded_) ++record.overload_releases;
   record.successor = candidates_.ChooseSuccessor(clock_.Monotonic());
   record.unreachable_vms =
       ToRecords(owner_->CollectUnreachableVms(), clock_.Monotonic());
--- a/src/libs/cell/election.cc
+++ b/src/libs/cell/election.cc
@@ -27,6 +27,7 @@
   const std::int64_t token = record.token >= 0 ? record.token : offset;
   campaign_at_.reset();
   owner_last_seen_ = now;
+  overload_releases_ = record.overload_releases;
   successor_ = record.vacant ? record.successor : "";
   if (record.vacant) {
     owner_.reset();
@@ -139,6 +140,7 @@
   record.address = address;
   record.term = term_;
   record.former_owners = former_owners_;
+  record.overload_releases = overload_releases_;
   return record;
 }
 
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -97,6 +97,11 @@
   const std::vector<FormerOwner>& FormerOwners() const {
     return former_owners_;
   }
+  /// How often in a row owners have released the cell because they were
+  /// overloaded.
+  int OverloadReleases() const { return overload_releases_; }
+  /// The owner, this node, is not overloaded. Its next record says so.
+  void ClearOverloadReleases() { overload_releases_ = 0; }
   /// The former owner has stopped acting as one.
   void OnFormerOwnerStopped(const FormerOwner& owner);
   /// Returns whether no former owner could act any more when this ownership
@@ -125,6 +130,7 @@
   bool handed_over_ = false;
   /// Whether the last vacant record, if any, marked the journal as complete.
   bool vacated_journal_complete_ = true;
+  int overload_releases_ = 0;
   std::string successor_;   ///< According to the newest record, if vacant.
   bool caught_up_ = false;  ///< The partition was read to its end once.
   std::int64_t end_ = 0;
--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -77,7 +77,7 @@
   net::asio::awaitable<net::HttpResponse> HandlePeerCall(
       net::HttpRequest request);
   /// Another entry has given its call up after `age`, before it was handled.
-  void OnPeerCallAbandoned(Millis age) { forwarder_.OnCallAbandoned(age); }
+  void OnPeerCallAbandoned(Millis age);
   /// Hands over all cells, and returns after `limit` at the latest. Callers are
   /// still served. Returns whether no cell is left.
   net::asio::awaitable<bool> Leave(Millis limit);
@@ -97,18 +97,23 @@
   void StartTicks();
   net::asio::awaitable<void> Run();
   /// Serves a peer's request, but only for cells that this node owns.
-  net::asio::awaitable<JobReply> HandlePeerRequest(JobRequest request);
-  OwnerProbeReply HandleProbe(const OwnerProbe& probe);
+  net::asio::awaitable<JobReply> HandlePeerRequest(JobRequest request,
+                                                   Millis age);
+  OwnerProbeReply HandleProbe(const OwnerProbe& probe, Millis age);
   net::asio::awaitable<DelegationReply> HandleDelegation(
       DelegationRequest request);
+  /// A request of another entry to the cell was read after it had waited for
+  /// `age` on this machine.
+  void NoteRead(int cell, Millis age);
   /// Sends a delegation to the known owner of its cell, once.
   net::asio::awaitable<DelegationReply> SendDelegation(
       DelegationRequest request);
   net::asio::awaitable<Result<OwnerProbeReply>> ProbePeer(std::string address,
                                                           OwnerProbe probe);
-  /// Returns the reply's body; empty if the call is not understood.
+  /// Returns the reply's body; empty if the call is not understood. `age` is
+  /// how long the call had waited on this machine when it was read.
   net::asio::awaitable<std::optional<std::string>> ServePeerCall(
-      std::string path, std::string body);
+      std::string path, std::string body, Millis age);
   net::asio::awaitable<Result<net::HttpResponse>> Post(std::string address,
                                                        const char* path,
                                                        std::string body,
--- a/src/libs/cell/node_requests.cc
+++ b/src/libs/cell/node_requests.cc
@@ -58,20 +58,21 @@
 }
 
 net::asio::awaitable<std::optional<std::string>> Node::ServePeerCall(
-    std::string path, std::string body) {
+    std::string path, std::string body, Millis age) {
   if (path == kJobPath) {
     const auto request = DecodeBody<JobRequest>(body);
     if (!IsOk(request)) co_return std::nullopt;
-    co_return EncodeBody(co_await HandlePeerRequest(ValueOf(request)));
+    co_return EncodeBody(co_await HandlePeerRequest(ValueOf(request), age));
   }
   if (path == kProbePath) {
     const auto probe = DecodeBody<OwnerProbe>(body);
     if (!IsOk(probe)) co_return std::nullopt;
-    co_return EncodeBody(HandleProbe(ValueOf(probe)));
+    co_return EncodeBody(HandleProbe(ValueOf(probe), age));
   }
   if (path == kDelegationPath) {
     const auto request = DecodeBody<DelegationRequest>(body);
     if (!IsOk(request)) co_return std::nullopt;
+    NoteRead(ValueOf(request).cell, age);
     co_return EncodeBody(co_await HandleDelegation(ValueOf(request)));
   }
   co_return std::nullopt;
@@ -80,8 +81,8 @@
 net::asio::awaitable<net::HttpResponse> Node::HandlePeerCall(
     net::HttpRequest request) {
   net::HttpResponse response;
-  std::optional<std::string> body =
-      co_await ServePeerCall(request.target, std::move(request.body));
+  std::optional<std::string> body = co_await ServePeerCall(
+      request.target, std::move(request.body), request.age);
   if (body) {
     response.body = std::move(*body);
     co_return response;
@@ -140,7 +141,19 @@
   co_return DelegationReply();
 }
 
-OwnerProbeReply Node::HandleProbe(const OwnerProbe& probe) {
+void Node::NoteRead(int cell, Millis age) {
+  const bool known = cell >= 0 && cell < static_cast<int>(members_.size());
+  if (known) members_[cell]->OnRequestRead(age);
+}
+
+void Node::OnPeerCallAbandoned(Millis age) {
+  forwarder_.OnCallAbandoned(age);
+  // The cell that it was for is not known.
+  for (const auto& member : members_) member->OnRequestRead(age);
+}
+
+OwnerProbeReply Node::HandleProbe(const OwnerProbe& probe, Millis age) {
+  NoteRead(probe.cell, age);
   const Millis now = clock_.Monotonic();
   const bool known =
       probe.cell >= 0 && probe.cell < static_cast<int>(members_.size());
@@ -199,10 +212,11 @@
   kLog.Info("event=entry_reaches_owners" + fields);
 }
 
-net::asio::awaitable<JobReply> Node::HandlePeerRequest(JobRequest request) {
+net::asio::awaitable<JobReply> Node::HandlePeerRequest(JobRequest request,
+                                                       Millis age) {
   const bool known =
       request.cell >= 0 && request.cell < static_cast<int>(members_.size());
-  if (known) co_return co_await forwarder_.ServePeer(std::move(request));
+  if (known) co_return co_await forwarder_.ServePeer(std::move(request), age);
   JobReply reply;
   if (request.kind == RequestKind::kStepDown)
     reply.kind = ReplyKind::kSteppedDown;
--- a/src/libs/cell/owner_record.h
+++ b/src/libs/cell/owner_record.h
@@ -58,12 +58,15 @@
   /// In a vacant record: the incarnation of the entry that should claim the
   /// cell at once; empty: none.
   std::string successor;
+  /// How often in a row owners have released the cell because their requests
+  /// had waited too long.
+  int overload_releases = 0;
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.node, self.incarnation, self.address, self.token, self.term,
             self.vacant, self.former_owners, self.load, self.unreachable_vms,
-            self.journal_complete, self.successor);
+            self.journal_complete, self.successor, self.overload_releases);
   }
 };
 
--- a/src/libs/cell/request_forwarder.cc
+++ b/src/libs/cell/request_forwarder.cc
@@ -394,9 +394,31 @@
   }
 }
 
-net::asio::awaitable<JobReply> RequestForwarder::ServePeer(JobRequest request) {
+bool RequestForwarder::NoteRead(const JobRequest& request, Millis age) {
+  ++counters_.read;
+  counters_.read_age_sum = counters_.read_age_sum + age;
+  const bool expired = age > Millis(0) && Millis(request.timeout_ms) <= age &&
+                       request.kind != RequestKind::kStepDown;
+  if (!expired) return false;
+  ++counters_.expired;
+  kLog.Info("event=peer_request_expired job=" + request.job + " request=" +
+            NameOf(request.kind) + " cell=" + std::to_string(request.cell) +
+            " age_ms=" + std::to_string(age.count) +
+            " limit_ms=" + std::to_string(request.timeout_ms));
+  return true;
+}
+
+net::asio::awaitable<JobReply> RequestForwarder::ServePeer(JobRequest request,
+                                                           Millis age) {
   const std::shared_ptr<CellMember> member = callbacks_.member(request.cell);
+  member->OnRequestRead(age);
   JobReply reply;
+  if (NoteRead(request, age)) {
+    reply.kind = ReplyKind::kUnavailable;
+    reply.incarnation = self_.incarnation;
+    co_return reply;
+  }
+  request.timeout_ms -= age.count;
   const std::optional<OwnerRecord> owner = member->KnownOwner();
   if (request.kind == RequestKind::kStepDown) {
     member->OnStepDownRequest(request.token);
--- a/src/libs/cell/request_forwarder.h
+++ b/src/libs/cell/request_forwarder.h
@@ -68,6 +68,12 @@
     /// Calls of other entries that were not handled: the sender had closed the
     /// connection.
     std::int64_t abandoned = 0;
+    /// Requests of other entries whose time had passed when they were read.
+    std::int64_t expired = 0;
+    /// Requests of other entries, and the sum of their ages when they were
+    /// read.
+    std::int64_t read = 0;
+    Millis read_age_sum;
   };
 
   /// Precondition: the references outlive the object, and the object outlives
@@ -80,8 +86,9 @@
   /// moved to. Retries until it is answered or the time is up.
   net::asio::awaitable<JobReply> Forward(JobRequest request);
   /// Serves a request of another entry: as the owner of its cell, or by sending
-  /// it on if the other entry asks for that.
-  net::asio::awaitable<JobReply> ServePeer(JobRequest request);
+  /// it on if the other entry asks for that. If its time has passed, since it
+  /// had waited for `age` on this machine, nothing is done.
+  net::asio::awaitable<JobReply> ServePeer(JobRequest request, Millis age);
 
   /// Another entry has given its call up after `age`, before it was handled.
   void OnCallAbandoned(Millis age);
@@ -116,6 +123,8 @@
   /// `started` is when the owner was called.
   void NoteOwnerCall(const JobRequest& request, const std::string& address,
                      const JobReply& reply, Millis started);
+  /// Counts a request of another entry. Returns whether its time has passed.
+  bool NoteRead(const JobRequest& request, Millis age);
   /// Serves a request of another entry as the owner of its cell.
   net::asio::awaitable<JobReply> ServeAsOwner(
       std::shared_ptr<CellMember> member, JobRequest request);
--- a/tests/sim/link_faults.h
+++ b/tests/sim/link_faults.h
@@ -33,6 +33,9 @@
   StoreAccess store = StoreAccess::kNormal;
   bool peers_cut = false;
   std::set<int> cut_nodes;  ///< Nodes that get no messages of this one.
+  /// How long other nodes' requests wait until this node reads them. Its ticks
+  /// and its own calls are on time.
+  Millis request_wait;
   /// Added to the delay of the list of VMs and of its changes.
   Millis directory_delay;
   std::set<std::string> cut_vms;    ///< Ids of VMs without a path.
@@ -50,8 +53,8 @@
   /// Whether the rules that hold for nodes without faults hold for this one.
   bool IsInTouch(Millis now) const {
     const bool reaches_all = store == StoreAccess::kNormal && !peers_cut &&
-                             cut_nodes.empty() && cut_vms.empty() &&
-                             lossy_vms.empty();
+                             request_wait == Millis(0) && cut_nodes.empty() &&
+                             cut_vms.empty() && lossy_vms.empty();
     return reaches_all && now >= in_touch_from;
   }
 };
--- a/tests/sim/simulated_cell_peers.cc
+++ b/tests/sim/simulated_cell_peers.cc
@@ -32,6 +32,8 @@
     std::function<net::asio::awaitable<std::optional<Reply>>()> serve) {
   co_await net::Sleep(Millis(1 + static_cast<int>(random_.Below(5))));
   if (IsCut(from, to)) co_return std::nullopt;
+  const Millis wait = faults_[to].request_wait;
+  if (wait > Millis(0)) co_await net::Sleep(wait);
   if (!nodes_[to]) {
     co_return Result<Reply>(Error{ErrorCode::kRefused, "connect", "", ""});
   }
--- a/tests/sim/simulated_node.cc
+++ b/tests/sim/simulated_node.cc
@@ -250,6 +250,8 @@
   const Millis now = environment_.clock.Monotonic();
   cell::OwnerProbeReply reply;
   reply.incarnation = identity_.incarnation;
+  if (probe.cell >= 0)
+    members_[probe.cell]->OnRequestRead(environment_.faults.request_wait);
   if (probe.cell >= 0) reply = members_[probe.cell]->HandleProbe(probe);
   contacts_.OnProbeReceived(probe, reply, OwnedCells() > 0, now);
   return reply;
@@ -275,7 +277,8 @@
 
 net::asio::awaitable<cell::JobReply> SimulatedNode::HandlePeerRequest(
     cell::JobRequest request) {
-  return forwarder_.ServePeer(std::move(request));
+  const Millis age = environment_.faults.request_wait;
+  return forwarder_.ServePeer(std::move(request), age);
 }
 
 net::asio::awaitable<cell::JobReply> SimulatedNode::Handle(
