Bound the calls to a peer that does not answer

Requests that meet a slow owner come again after 60 ms, and each had a connection of its own once the peer had timed out, since the idle ones are dropped then.

Change: a peer that has not answered a call in time gets two calls at once until it answers one. Other calls fail at once, in the step "limit": they were not sent, so their requests are not in doubt, and go through another entry or are refused. Calls to the store and to executors are not bounded.

--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -15,6 +15,8 @@
 static constexpr char kLayoutKey[] = "layout";
 /// How long a node goes on reading the list of VMs that it does not need.
 static constexpr Millis kDirectoryLinger(10'000);
+/// One probe, and one request beside it.
+static constexpr int kMaxCallsToSilentPeer = 2;
 
 Node::Node(net::asio::io_context& context, Store& store, VmClient& vms,
            Directory& directory, const Clock& clock, NodeSettings settings)
@@ -24,7 +26,7 @@
       directory_(directory),
       clock_(clock),
       settings_(std::move(settings)),
-      peers_(context),
+      peers_(context, {kMaxCallsToSilentPeer}),
       lag_watch_(settings_.lag),
       contacts_(settings_.identity.peer_address),
       forwarder_(
--- a/src/libs/cell/node_requests.cc
+++ b/src/libs/cell/node_requests.cc
@@ -13,6 +13,7 @@
 static constexpr char kProbePath[] = "/probe";
 static constexpr char kDelegationPath[] = "/delegations";
 /// Steps of a call that has failed before the peer had the whole request.
+static constexpr char kLimitStep[] = "limit";
 static constexpr char kConnectStep[] = "connect";
 static constexpr char kSendStep[] = "send";
 /// In a probe: the entry asks for no cell, only whether an owner is reached.
@@ -266,7 +267,8 @@
     const Error& error = ErrorOf(answer);
     NoteCall(address, error, timeout);
     if (error.code == ErrorCode::kRefused) reply.incarnation = kNoProcess;
-    const bool not_sent = error.step == kConnectStep || error.step == kSendStep;
+    const bool not_sent = error.step == kLimitStep ||
+                          error.step == kConnectStep || error.step == kSendStep;
     if (!not_sent) reply.kind = ReplyKind::kInDoubt;
     co_return reply;
   }
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "net/address.h"
+#include "net/call_limiter.h"
 
 namespace basilspur::net {
 
@@ -20,6 +21,8 @@
 static constexpr std::size_t kMaxIdlePerPeer = 12;
 static constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20;
 
+static constexpr char kLimitStep[] = "limit";
+static constexpr char kConnectStep[] = "connect";
 static constexpr char kSendStep[] = "send";
 static constexpr char kReceiveStep[] = "receive";
 /// Initial capacity of the read buffer. Smaller reads of a large response would
@@ -44,7 +47,10 @@
 
 class HttpClient::Private {
  public:
-  explicit Private(asio::io_context& context) : context_(context) {}
+  Private(asio::io_context& context, HttpClientOptions options)
+      : context_(context), limiter_(options.max_calls_to_silent_peer) {}
+
+  CallLimiter& Limiter() { return limiter_; }
 
   /// Returns a connection that the peer has not closed, as far as is known.
   Stream TakeIdle(const std::string& address) {
@@ -81,7 +87,7 @@
     if (failure) {
       const bool refused = failure == asio::error::connection_refused;
       co_return Error{refused ? ErrorCode::kRefused : ErrorCode::kUnavailable,
-                      "connect", address, failure.message()};
+                      kConnectStep, address, failure.message()};
     }
     stream->socket().set_option(asio::ip::tcp::no_delay(true));
     co_return stream;
@@ -131,18 +137,61 @@
 
  private:
   asio::io_context& context_;
+  CallLimiter limiter_;
   std::map<std::string, std::vector<Stream>> idle_;
 };
 
-HttpClient::HttpClient(asio::io_context& context)
-    : d_(std::make_shared<Private>(context)) {}
+HttpClient::HttpClient(asio::io_context& context, HttpClientOptions options)
+    : d_(std::make_shared<Private>(context, options)) {}
 
 HttpClient::~HttpClient() = default;
 
+/// Ends a call that has begun, also if an exception leaves it.
+class CountedCall {
+ public:
+  CountedCall(CallLimiter& limiter, std::string address)
+      : limiter_(limiter), address_(std::move(address)) {}
+  ~CountedCall() { limiter_.End(address_, outcome); }
+  CountedCall(const CountedCall&) = delete;
+  CountedCall& operator=(const CountedCall&) = delete;
+
+  CallLimiter::Outcome outcome = CallLimiter::Outcome::kFailed;
+
+ private:
+  CallLimiter& limiter_;
+  std::string address_;
+};
+
+static CallLimiter::Outcome OutcomeOf(const Result<HttpResponse>& result,
+                                      Millis timeout) {
+  using Outcome = CallLimiter::Outcome;
+  if (IsOk(result) || ErrorOf(result).code == ErrorCode::kRefused)
+    return Outcome::kAnswered;
+  const bool silent = ErrorOf(result).code == ErrorCode::kTimeout ||
+                      ErrorOf(result).step == kConnectStep;
+  // A call with little time left says nothing of the peer.
+  return silent && timeout >= kConnectTimeout ? Outcome::kTimedOut
+                                              : Outcome::kFailed;
+}
+
 asio::awaitable<Result<HttpResponse>> HttpClient::Call(std::string address,
                                                        HttpRequest request,
                                                        Millis timeout) {
   const std::shared_ptr<Private> d = d_;
+  if (!d->Limiter().TryBegin(address)) {
+    co_return Error{ErrorCode::kUnavailable, kLimitStep, address,
+                    "the peer does not answer the calls under way"};
+  }
+  CountedCall call(d->Limiter(), address);
+  Result<HttpResponse> result =
+      co_await CallAnyConnection(d, address, std::move(request), timeout);
+  call.outcome = OutcomeOf(result, timeout);
+  co_return result;
+}
+
+asio::awaitable<Result<HttpResponse>> HttpClient::CallAnyConnection(
+    std::shared_ptr<Private> d, std::string address, HttpRequest request,
+    Millis timeout) {
   bool keep_alive = false;
   std::optional<Error> idle_error;
   if (Stream idle = d->TakeIdle(address)) {
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -11,6 +11,12 @@
 
 namespace basilspur::net {
 
+struct HttpClientOptions {
+  /// A peer that has not answered in time gets at most this many calls at once
+  /// until it answers one; 0: no limit.
+  int max_calls_to_silent_peer = 0;
+};
+
 /// An HTTP/1.1 client for control messages, with a pool of idle connections to
 /// each peer. It is only for requests that may be repeated: if a request
 /// on an idle connection fails other than by a time-out, because the peer may
@@ -22,20 +28,27 @@
 class HttpClient {
  public:
   /// Precondition: `context` outlives the client.
-  explicit HttpClient(asio::io_context& context);
+  explicit HttpClient(asio::io_context& context,
+                      HttpClientOptions options = {});
   ~HttpClient();
 
   /// Sends the request and returns the response. Errors: kInvalid for a
   /// malformed address, kRefused if nothing listens at it, kUnavailable if no
   /// connection could be established or it broke, kTimeout if the response did
-  /// not arrive within `timeout` ms. The steps "connect" and "send" mean that
-  /// the peer did not receive a complete request.
+  /// not arrive within `timeout` ms. The steps "limit", "connect" and "send"
+  /// mean that the peer did not receive a complete request; "limit" is that of
+  /// HttpClientOptions.
   asio::awaitable<Result<HttpResponse>> Call(std::string address,
                                              HttpRequest request,
                                              Millis timeout);
 
  private:
   class Private;
+  /// Sends the request on an idle connection or on a new one.
+  static asio::awaitable<Result<HttpResponse>> CallAnyConnection(
+      std::shared_ptr<Private> d, std::string address, HttpRequest request,
+      Millis timeout);
+
   std::shared_ptr<Private> d_;
 };
 
