Let probes of a doubted owner overlap until the first one times out

Now probes overlap, each 0.2 s, until one times out; then the next follows 0.4 s, and after that 0.8 s later, and up to half more at random.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -205,14 +205,9 @@
 void CellMember::Tick(int owned) {
   const Millis now = clock_.Monotonic();
   UpdateFollowing();
-  const auto& known = election_.Owner();
-  const bool probe_pending = known && known->incarnation == probed_owner_;
-  if (!probe_pending &&
-      follow_policy_.ShouldProbe(Knowledge(), owned > 0, now)) {
-    probed_owner_ = known->incarnation;
+  if (follow_policy_.ShouldProbe(Knowledge(), owned > 0, now)) {
     net::Spawn(context_, ProbeOwner(*election_.Owner(), owned > 0),
-               "owner_probe",
-               [self = shared_from_this()] { self->probed_owner_.clear(); });
+               "owner_probe");
   }
   if (election_.IsExpired(now)) {
     kLog.Warning(
--- a/src/libs/cell/cell_member.h
+++ b/src/libs/cell/cell_member.h
@@ -195,8 +195,6 @@
   int cell_;
   Partition partition_;
   bool slow_machine_;
-  /// Incarnation of the owner that a probe is under way to; empty: none.
-  std::string probed_owner_;
   Election election_;
   FollowPolicy follow_policy_;
   std::size_t max_candidates_;
--- a/src/libs/cell/cell_member_following.cc
+++ b/src/libs/cell/cell_member_following.cc
@@ -51,7 +51,6 @@
   if (probe.wants_tails) last_tails_request_ = clock_.Monotonic();
   const Result<OwnerProbeReply> answer =
       co_await callbacks_.probe_peer(owner.address, std::move(probe));
-  if (probed_owner_ == owner.incarnation) probed_owner_.clear();
   const bool refused =
       !IsOk(answer) && ErrorOf(answer).code == ErrorCode::kRefused;
   const bool replaced =
--- a/src/libs/cell/follow_policy.cc
+++ b/src/libs/cell/follow_policy.cc
@@ -9,9 +9,9 @@
 static constexpr Millis kDoubtDuration(5'000);
 static constexpr Millis kCandidacyDuration(4'000);
 static constexpr Millis kDoubtedProbeInterval(200);
-/// The longest interval in doubt is 1.6 s, so that an owner that is reached
-/// again is noticed soon.
-static constexpr int kMaxProbeDoublings = 3;
+/// The longest interval in doubt is 0.8 s after a time-out, so that an owner
+/// that is reached again is noticed soon.
+static constexpr int kMaxProbeDoublings = 2;
 static constexpr Millis kCandidateProbeInterval(1'000);
 /// An entry that owns no cell probes one of the owners at this interval.
 static constexpr Millis kIdleProbeInterval(1'000);
