--- a/tests/sim/silent_host_test.cc
+++ b/tests/sim/silent_host_test.cc
@@ -108,7 +108,7 @@
     "hosted tasks of a cancelled job end while their host reads its requests "
     "late") {
   ForEachCase([](HostedTasks& tasks, Millis silence) {
-    tasks.cell.Faults(tasks.host).request_delay = Millis(6'000);
+    tasks.cell.Faults(tasks.host).request_wait = Millis(6'000);
     tasks.cell.RunFor(silence);
     tasks.Cancel();
     tasks.cell.RunFor(kMaxRunAfterCancel);
