Apply the catalog in force to each job that enters the scheduler

Change: Restore, Submit and Host add jobs through Scheduler::AddJob, which applies the catalog in force; ApplyCatalog covers all jobs that have not ended, and the priority, too. A record names the version of the configuration that it is from, so that an owner that is behind does not take a job back to a service that the queue has left.

--- a/src/libs/jobs/job_progress.h
+++ b/src/libs/jobs/job_progress.h
@@ -31,12 +31,15 @@
   /// The cell that has delegated tasks of its job to this one; -1: the job
   /// belongs to this cell.
   int home_cell = -1;
+  /// Of the configuration that `service`, `attempts` and `priority` are from;
+  /// -1: not known.
+  std::int64_t catalog_version = -1;
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.queue, self.service, self.spec, self.accepted_wall_ms,
             self.status, self.ended_wall_ms, self.attempts, self.priority,
-            self.home_cell);
+            self.home_cell, self.catalog_version);
   }
 };
 
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -1,6 +1,7 @@
 #include "jobs/scheduler.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace basilspur::jobs {
@@ -35,20 +36,38 @@
   return found == vms_.end() ? nullptr : found->second.get();
 }
 
+/// Returns references to what the configuration of a job's queue decides; `T`
+/// is QueueConfig or JobRecord.
+template <class T>
+static auto ConfiguredPartOf(T& holder) {
+  return std::tie(holder.service, holder.attempts, holder.priority);
+}
+
 void Scheduler::ApplyCatalog(const Catalog& catalog) {
   catalog_ = catalog;
-  for (auto& [key, job] : active_jobs_) {
-    const QueueConfig* queue = catalog_.FindQueue(job->record.queue);
-    if (!queue) continue;
-    JobRecord& record = job->record;
-    const bool same =
-        queue->service == record.service && queue->attempts == record.attempts;
-    if (same) continue;
-    record.service = queue->service;
-    record.attempts = queue->attempts;
-    job->record_dirty = true;
-    dirty_jobs_.insert(job->id);
-  }
+  for (auto& [id, job] : jobs_) ApplyQueue(*job);
+}
+
+void Scheduler::ApplyQueue(Job& job) {
+  JobRecord& record = job.record;
+  const QueueConfig* queue = catalog_.FindQueue(record.queue);
+  // An owner or a home cell that read a newer configuration may have written
+  // the record.
+  const bool applies = queue && !IsFinal(record.status) &&
+                       catalog_.version >= record.catalog_version;
+  if (!applies || ConfiguredPartOf(*queue) == ConfiguredPartOf(record)) return;
+  const bool active = active_jobs_.erase(KeyOf(job)) > 0;
+  ConfiguredPartOf(record) = ConfiguredPartOf(*queue);
+  record.catalog_version = catalog_.version;
+  if (active) Activate(job);
+  job.record_dirty = true;
+  dirty_jobs_.insert(job.id);
+}
+
+Job& Scheduler::AddJob(std::unique_ptr<Job> job) {
+  Job& added = *(jobs_[job->id] = std::move(job));
+  ApplyQueue(added);
+  return added;
 }
 
 void Scheduler::UpsertVm(const VmListing& listing, Millis now) {
@@ -76,15 +95,14 @@
   // Jobs may end before the first plan.
   wall_ms_ = wall_ms;
   auto owned = std::make_unique<Job>();
-  Job& job = *owned;
-  job.id = id;
-  job.record = record;
+  owned->id = id;
+  owned->record = record;
+  Job& job = AddJob(std::move(owned));
   job.accepted = true;
   job.inherited = true;
   job.durable_status = record.status;
   const std::int64_t age = wall_ms - record.accepted_wall_ms;
   job.accepted_at = now - Millis(std::max(age, std::int64_t{0}));
-  jobs_[id] = std::move(owned);
   job.has_progress_record = progress.has_value();
   if (progress) job.ApplyProgress(*progress);
   if (!IsFinal(record.status)) {
@@ -166,11 +184,12 @@
     vm->lease_bound_recorded = recorded_lease_expiries_.contains(id);
 }
 
-void Scheduler::Activate(Job& job) {
-  active_jobs_[{job.record.priority, {job.record.accepted_wall_ms, job.id}}] =
-      &job;
+Scheduler::ActiveJobKey Scheduler::KeyOf(const Job& job) {
+  return {job.record.priority, {job.record.accepted_wall_ms, job.id}};
 }
 
+void Scheduler::Activate(Job& job) { active_jobs_[KeyOf(job)] = &job; }
+
 SubmitResult Scheduler::Submit(const std::string& id, const QueueConfig& queue,
                                JobSpec spec, std::int64_t wall_ms, Millis now) {
   if (const Job* known = FindJob(id)) {
@@ -184,16 +203,15 @@
   auto job = std::make_unique<Job>();
   job->id = id;
   job->record.queue = queue.name;
-  job->record.service = queue.service;
-  job->record.attempts = queue.attempts;
-  job->record.priority = queue.priority;
+  ConfiguredPartOf(job->record) = ConfiguredPartOf(queue);
+  job->record.catalog_version = catalog_.version;
   job->record.spec = std::move(spec);
   job->record.accepted_wall_ms = wall_ms;
   job->record_dirty = true;
   job->accepted_at = now;
   urgent_changes_ = true;
   dirty_jobs_.insert(id);
-  jobs_[id] = std::move(job);
+  AddJob(std::move(job));
   return SubmitResult::kNew;
 }
 
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -65,7 +65,9 @@
   Scheduler(const Scheduler&) = delete;
   Scheduler& operator=(const Scheduler&) = delete;
 
-  /// Precondition: `catalog` is newer than the one applied before.
+  /// Applies to all jobs that have not ended, whether they are in the journal
+  /// yet or not, and to each job that is added later. Precondition: `catalog`
+  /// is newer than the one applied before.
   void ApplyCatalog(const Catalog& catalog);
   /// Operators have closed or opened data centers.
   void ApplyClosures(const DataCenterClosures& closures) {
@@ -277,7 +279,13 @@
   Vm* FindVm(const std::string& id);
   /// Returns the VM, which an earlier owner may have used.
   Vm& InheritVm(const std::string& id, const std::string& address, Millis now);
+  static ActiveJobKey KeyOf(const Job& job);
   void Activate(Job& job);
+  /// Adds a job that is restored, submitted or hosted.
+  Job& AddJob(std::unique_ptr<Job> job);
+  /// Applies the configuration of the job's queue to its record, unless the
+  /// record is from a newer configuration.
+  void ApplyQueue(Job& job);
   void EndJob(Job& job, JobStatus status, std::int64_t wall_ms);
   bool CanPurge(const Job& job, std::int64_t wall_ms) const;
   void PurgeEndedJobs(std::int64_t wall_ms);
--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -244,7 +244,7 @@
   job->started = true;
   dirty_jobs_.insert(job->id);
   urgent_changes_ = true;
-  return *(jobs_[delegation.job] = std::move(job));
+  return AddJob(std::move(job));
 }
 
 void Scheduler::ApplyDelegation(Job& job, Task& task,
