Replace what is kept of a VM's worker when it starts again

Cause: reports name their worker by its start, directory entries were read without it. So an entry could not be told to be of another lifetime than the last report, and ReplaceWorker reset some fields and kept the others.

Change: VmWorker holds what belongs to one lifetime, Vm::ReplaceWorker replaces it as a whole. Entries carry the worker's start. A VM counts as listed only while its entry and its last report are of the same worker, as far as both name one; so starts, preemptions, reservations and published room wait for the new entry, or for the first report if the entry comes first. A VM with an entry of another lifetime is not forgotten when its lease expires. The simulation writes the worker's start into entries, too.

--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -74,7 +74,7 @@
   Vm* known = FindVm(listing.id);
   if (known) {
     known->listing = listing;
-    known->listed = true;
+    known->SetListed(true);
     return;
   }
   auto vm = std::make_unique<Vm>(listing);
@@ -86,7 +86,7 @@
 
 void Scheduler::UnlistVm(const std::string& id) {
   Vm* vm = FindVm(id);
-  if (vm) vm->listed = false;
+  if (vm) vm->SetListed(false);
 }
 
 void Scheduler::Restore(const std::string& id, const JobRecord& record,
@@ -128,7 +128,7 @@
     unlisted.id = id;
     unlisted.address = address;
     UpsertVm(unlisted, now);
-    FindVm(id)->listed = false;
+    FindVm(id)->SetListed(false);
   }
   Vm& vm = *FindVm(id);
   if (!vm.inherited) vm.Inherit(now + settings_.max_inherited_lease);
@@ -140,7 +140,7 @@
                           Millis now) {
   Vm& vm = InheritVm(id, record.address, now);
   vm.last_end = vm.durable_end = record.last_end;
-  vm.worker_start_ms = record.worker_start_ms;
+  vm.SetWorkerStart(record.worker_start_ms);
   vm.in_journal = true;
 }
 
--- a/src/libs/jobs/scheduler_losses.cc
+++ b/src/libs/jobs/scheduler_losses.cc
@@ -72,7 +72,8 @@
       vm.reconciled = true;
     }
     all_vms_reconciled_ = all_vms_reconciled_ && vm.reconciled;
-    const bool removable = !vm.listed && vm.Runs().empty() && vm.lease_expired;
+    const bool removable =
+        !vm.HasDirectoryEntry() && vm.Runs().empty() && vm.lease_expired;
     if (removable) {
       pending_deletions_.push_back({"v" + it->first, {}});
       dirty_vms_.erase(it->first);
--- a/src/libs/jobs/scheduler_workers.cc
+++ b/src/libs/jobs/scheduler_workers.cc
@@ -14,7 +14,7 @@
     if (sent < vm.reported_at) return false;
     ReplaceWorker(vm, report, sent, now);
   }
-  if (report.worker_start_ms > 0) vm.worker_start_ms = report.worker_start_ms;
+  if (report.worker_start_ms > 0) vm.SetWorkerStart(report.worker_start_ms);
   return true;
 }
 
@@ -59,11 +59,11 @@
 void Scheduler::ReplaceWorker(Vm& vm, const VmReport& report, Millis sent,
                               Millis now) {
   LoseRuns(vm, VmLossCause::kRestarted, now, RunsOfNewWorker(vm, report, sent));
-  vm.ResetClock(report.clock_ms, settings_.max_vm_lease, now);
-  vm.last_end = vm.durable_end = 0;
-  vm.lease_expired = false;
-  vm.known_since = now;
-  dirty_vms_[vm.listing.id] = 0;
+  vm.ReplaceWorker(report.worker_start_ms, report.clock_ms,
+                   settings_.max_vm_lease, now);
+  const std::string& id = vm.listing.id;
+  std::erase_if(held_ends_, [&](const HeldEnd& end) { return end.vm == id; });
+  dirty_vms_[id] = 0;
 }
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -22,12 +22,12 @@
 Vm::Vm(VmListing listing) : listing(std::move(listing)) {}
 
 std::optional<std::int64_t> Vm::LeaseDeadline(Millis lease, Millis now) const {
-  if (!clock_known_) return std::nullopt;
+  if (!clock_.known) return std::nullopt;
   // Successors allow for a slow clock during the lease only, and not since the
   // clock was read.
   const std::int64_t elapsed =
-      (now - clock_at_).count * (100 - kMaxClockDriftPercent) / 100;
-  return clock_ms_ + elapsed + lease.count;
+      (now - clock_.read_at).count * (100 - kMaxClockDriftPercent) / 100;
+  return clock_.time_ms + elapsed + lease.count;
 }
 
 void Vm::Inherit(Millis lease_expiry) {
@@ -42,33 +42,53 @@
 }
 
 void Vm::RecordLeaseDeadline(std::int64_t deadline_ms) {
-  max_deadline_ms_ = std::max(max_deadline_ms_, deadline_ms);
+  clock_.max_deadline_ms = std::max(clock_.max_deadline_ms, deadline_ms);
 }
 
 bool Vm::UpdateClock(std::int64_t clock_ms, Millis sent, Millis now) {
   const std::int64_t on_arrival = clock_ms - (now - sent).count;
-  const bool lease_expired =
-      clock_known_ && max_deadline_ms_ > 0 && on_arrival > max_deadline_ms_;
-  clock_known_ = true;
-  if (clock_ms >= clock_ms_) {
-    clock_ms_ = clock_ms;
-    clock_at_ = now;
+  const bool lease_expired = clock_.known && clock_.max_deadline_ms > 0 &&
+                             on_arrival > clock_.max_deadline_ms;
+  clock_.known = true;
+  if (clock_ms >= clock_.time_ms) {
+    clock_.time_ms = clock_ms;
+    clock_.read_at = now;
   }
   return lease_expired;
 }
 
-void Vm::ResetClock(std::int64_t clock_ms, Millis max_lease, Millis now) {
-  clock_known_ = true;
-  clock_ms_ = clock_ms;
-  clock_at_ = now;
-  max_deadline_ms_ = clock_ms + max_lease.count;
+void Vm::UpdateListed() {
+  const bool either_unknown =
+      listing.worker_start_ms == 0 || worker_start_ms == 0;
+  listed = has_entry_ &&
+           (either_unknown || listing.worker_start_ms == worker_start_ms);
+}
+
+void Vm::SetListed(bool has_entry) {
+  has_entry_ = has_entry;
+  UpdateListed();
+}
+
+void Vm::SetWorkerStart(std::int64_t start_ms) {
+  worker_start_ms = start_ms;
+  UpdateListed();
+}
+
+void Vm::ReplaceWorker(std::int64_t start_ms, std::int64_t clock_ms,
+                       Millis max_lease, Millis now) {
+  static_cast<VmWorker&>(*this) = VmWorker();
+  known_since = now;
+  clock_ = {/*known=*/true, clock_ms, now, clock_ms + max_lease.count};
+  tail_predictions.clear();
+  SetWorkerStart(start_ms);
 }
 
 Millis Vm::LatestLeaseExpiry() const {
   // Until this owner has set a deadline, that of an earlier owner applies.
-  if (!clock_known_ || max_deadline_ms_ == 0) return inherited_lease_expiry_;
-  const std::int64_t left = max_deadline_ms_ - clock_ms_;
-  return clock_at_ + Millis(left * 100 / (100 - kMaxClockDriftPercent)) +
+  if (!clock_.known || clock_.max_deadline_ms == 0)
+    return inherited_lease_expiry_;
+  const std::int64_t left = clock_.max_deadline_ms - clock_.time_ms;
+  return clock_.read_at + Millis(left * 100 / (100 - kMaxClockDriftPercent)) +
          kLeaseExpiryMargin;
 }
 
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -10,11 +10,13 @@
 
 #include "base/clock.h"
 #include "jobs/planned_start.h"
+#include "jobs/reservation.h"
 #include "jobs/step_spec.h"
 #include "jobs/task_ref.h"
 #include "jobs/vm_listing.h"
 #include "jobs/vm_loss.h"
 #include "jobs/vm_report.h"
+#include "jobs/vm_worker.h"
 
 namespace basilspur::jobs {
 
@@ -47,17 +49,6 @@
 /// Returns the resources and properties with which a run of a step is charged.
 RunOnVm MakeRunOnVm(const StepSpec& spec);
 
-/// Capacity of a VM that is reserved for a long-running task.
-struct Reservation {
-  TaskRef task;
-  records::Resources need;
-  Millis until;
-  /// The task was stopped on another VM to move here, so no other task that is
-  /// charged for processor time may use the VM. Otherwise, long-running tasks
-  /// that already fit may be started despite the reservation.
-  bool exclusive = false;
-};
-
 /// A task and the number of its run.
 using RunKey = std::pair<TaskRef, int>;
 
@@ -80,7 +71,7 @@
 /// Runs with a tail latency target are called serving runs.
 ///
 /// Thread safety: same as Scheduler.
-class Vm {
+class Vm : public VmWorker {
  public:
   /// A VM on which no earlier owner can have runs.
   explicit Vm(VmListing listing);
@@ -106,9 +97,16 @@
   Millis LatestLeaseExpiry() const;
   bool HasLeaseExpired(Millis now) const { return now > LatestLeaseExpiry(); }
 
-  /// The VM has another worker, whose clock starts anew. Calls that were meant
-  /// for the former one may have given it a lease of up to `max_lease`.
-  void ResetClock(std::int64_t clock_ms, Millis max_lease, Millis now);
+  /// The directory has an entry of the VM, or has none any more.
+  void SetListed(bool has_entry);
+  /// Sets the start of the present worker.
+  void SetWorkerStart(std::int64_t start_ms);
+  /// The VM has another worker, whose clock starts anew. Replaces all that was
+  /// kept of the former one but its runs. Calls that were meant for that may
+  /// have given the new one a lease of up to `max_lease`.
+  void ReplaceWorker(std::int64_t start_ms, std::int64_t clock_ms,
+                     Millis max_lease, Millis now);
+  bool HasDirectoryEntry() const { return has_entry_; }
 
   void Add(const RunKey& key, const RunOnVm& run);
   void Remove(const RunKey& key);
@@ -137,11 +135,11 @@
   RunOnVm* FindRun(const RunKey& key);
 
   VmListing listing;
-  bool listed = true;      ///< The VM is in the platform's directory.
-  bool reachable = false;  ///< The VM answered the last renewal.
-  Millis last_start_at;    ///< When a run was last started.
-  /// First report of the present worker to this owner; 0: none yet.
-  Millis known_since;
+  /// The VM is in the platform's directory, and its entry is of the present
+  /// worker, as far as both name one. Another one's labels and room say nothing
+  /// of what this one can run.
+  bool listed = true;
+  bool reachable = false;    ///< The VM answered the last renewal.
   Millis reported_at;        ///< When the last report arrived.
   Millis unreachable_since;  ///< Valid only while the VM is unreachable.
   /// How the present outage began; empty: no call has failed since the last
@@ -161,36 +159,23 @@
   /// All runs of earlier owners are known: the VM is not inherited, it has
   /// answered this owner, or its lease has expired.
   bool reconciled = true;
-  /// The lease has expired or the VM has restarted, so all its runs have been
-  /// released. Reset by the VM's next report.
-  bool lease_expired = false;
-  /// When the worker that sent the last report started, in Unix ms; 0: unknown.
-  std::int64_t worker_start_ms = 0;
-  // Numbers of this worker's newest run ends.
-  std::int64_t last_end = 0;     ///< Processed.
-  std::int64_t durable_end = 0;  ///< In the journal.
-  int consecutive_failures = 0;
-  Millis quarantined_until;
-  std::optional<Reservation> reservation;
   std::optional<PlannedStart> planned_start;  ///< See BackfillPolicy.
   std::optional<Isolation> isolation;         ///< Ends with its run.
-  Millis pace_changed_at;    ///< Time of the last pace change of any run.
-  Millis tails_observed_at;  ///< Time of the last tail latency observation.
   /// Cached predictions by best-effort image. Cleared whenever the runs or
   /// their paces change or tail latencies are observed.
   mutable std::map<std::string, std::vector<TailPrediction>> tail_predictions;
 
  private:
+  void UpdateListed();
+
   records::Resources used_;
   std::int64_t best_effort_cpu_millis_ = 0;
   int serving_run_count_ = 0;
   std::int64_t serving_cpu_millis_ = 0;
   int unknown_run_count_ = 0;  ///< Runs whose needs are unknown.
   std::map<RunKey, RunOnVm> runs_;
-  bool clock_known_ = false;
-  std::int64_t clock_ms_ = 0;
-  Millis clock_at_;
-  std::int64_t max_deadline_ms_ = 0;
+  bool has_entry_ = true;
+  WorkerClock clock_;
   Millis inherited_lease_expiry_;
 };
 
--- a/src/libs/jobs/vm_listing.h
+++ b/src/libs/jobs/vm_listing.h
@@ -23,6 +23,9 @@
   bool draining = false;
   /// Minimum remaining time until the VM is removed; -1: unknown.
   std::int64_t remaining_ms = -1;
+  /// When the worker that wrote the entry started, in Unix ms; 0: unknown. See
+  /// VmReport::worker_start_ms.
+  std::int64_t worker_start_ms = 0;
 
   bool operator==(const VmListing& other) const = default;
 
--- a/tests/auto/platform/wire_test.cc
+++ b/tests/auto/platform/wire_test.cc
@@ -127,6 +127,16 @@
   CHECK(ValueOf(report).worker_start_ms == 1'790'000'000'123);
 }
 
+// An entry could not be told to be of another lifetime than the last report.
+TEST_CASE("a worker's start is read from its VM entry") {
+  const auto vm = DecodeVmListing(
+      "i-1", R"({"service":"s","address":"1.2.3.4:5","zone":"z",
+          "state":"ready","room":{"cpu":16000},"labels":["a","r1-3"],
+          "born":1790000000123})");
+  REQUIRE(IsOk(vm));
+  CHECK(ValueOf(vm).worker_start_ms == 1'790'000'000'123);
+}
+
 TEST_CASE("answers to run commands are decoded into outcomes") {
   const auto outcome = [](unsigned status, const char* body) {
     return DecodeCommandAnswer(status, body).outcome;
--- a/tests/sim/simulated_vm.cc
+++ b/tests/sim/simulated_vm.cc
@@ -31,7 +31,9 @@
       listing_(std::move(listing)),
       clock_percent_(clock_percent),
       booted_(clock.Monotonic()),
-      worker_start_ms_(clock.Wall().count) {}
+      worker_start_ms_(clock.Wall().count) {
+  listing_.worker_start_ms = worker_start_ms_;
+}
 
 std::int64_t SimulatedVm::ClockMs() const {
   const Millis age = clock_.Monotonic() - booted_;
--- a/tests/sim/vm_entry.cc
+++ b/tests/sim/vm_entry.cc
@@ -8,6 +8,7 @@
 records::Bytes MakeVmEntry(const jobs::VmListing& vm) {
   const nlohmann::json entry = {
       {"address", vm.address},
+      {"born", vm.worker_start_ms},
       {"labels", {vm.kind, vm.rack}},
       {"room",
        {{"cpu", vm.capacity.cpu_millis}, {"mem_mb", vm.capacity.memory_mib}}},
