Start a gang again with one checkpoint for all its members

A gang that was started again resumed each member from the checkpoint that this member had reported itself, or from none. The platform asks for the same value in all of them, and takes that of any member.

Cause: Scheduler::PlanGang took each task's own checkpoint.

Copies and delegated tasks are not concerned: gangs have neither.

--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -1,9 +1,30 @@
 #include "jobs/job.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace basilspur::jobs {
 
+void Task::SaveCheckpoint(const std::string& reported, Millis now) {
+  if (reported.empty()) return;
+  checkpoint = reported;
+  checkpoint_at = now;
+}
+
+void Step::ShareNewestCheckpoint() {
+  const auto newest = std::max_element(
+      tasks.begin(), tasks.end(), [](const Task& a, const Task& b) {
+        return std::tuple(a.checkpoint_at.count, !a.checkpoint.empty()) <
+               std::tuple(b.checkpoint_at.count, !b.checkpoint.empty());
+      });
+  if (newest == tasks.end()) return;
+  const Task source = *newest;
+  for (Task& task : tasks) {
+    task.checkpoint = source.checkpoint;
+    task.checkpoint_at = source.checkpoint_at;
+  }
+}
+
 Run* Task::FindRun(int number, std::string_view vm) {
   for (Run& run : runs) {
     if (run.number == number && run.vm == vm) return &run;
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -57,6 +57,7 @@
   int last_run = 0;
   int journaled_run = 0;  ///< `last_run` in the restored journal.
   std::string checkpoint;
+  Millis checkpoint_at;  ///< When `checkpoint` was reported; 0: restored, none.
   std::vector<Run> runs;
   std::vector<std::string> failed_on;  ///< VMs to avoid for further runs.
   Millis not_before;                   ///< Earliest time of the next run.
@@ -94,6 +95,8 @@
         hosting == HostingState::kOwnJob || hosting == HostingState::kHosted;
     return host_cell >= 0 || !runs_here;
   }
+  /// Keeps what a VM has reported; an empty value says nothing.
+  void SaveCheckpoint(const std::string& reported, Millis now);
   /// Whether the task may crash the next VM that starts it.
   bool IsSuspect() const { return crashes > 0; }
   /// Returns the run with this number on `vm`, or null.
@@ -108,6 +111,10 @@
   int undurable_results = 0;
 
   bool IsDone() const { return done == static_cast<int>(tasks.size()); }
+  /// Gives all tasks the checkpoint that was reported last. For gangs: the
+  /// checkpoint of any member is valid for all, and all must resume from the
+  /// same one.
+  void ShareNewestCheckpoint();
 };
 
 /// One execution of all steps of a job.
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -194,6 +194,7 @@
     if (!NeedsRun(task, now)) return;
     number = std::max(number, NextRunNumber(job, task));
   }
+  occurrence.steps[step].ShareNewestCheckpoint();
   std::set<std::string> racks{""};
   if (spec.rack_local) {
     for (const auto& [id, vm] : vms_) racks.insert(vm->listing.rack);
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -127,7 +127,7 @@
     run->percent = row.percent;
     run->progressed_at = now;
   }
-  if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
+  task->SaveCheckpoint(row.checkpoint, now);
   if (RunOnVm* charged_run = vm.FindRun(key)) {
     charged_run->measurement = row.measurement;
     charged_run->confirmed = true;
@@ -157,7 +157,7 @@
   job->started = true;
   MarkProgressDirty(*job);
   if (lease_expired || task->done) return;
-  if (!row.checkpoint.empty()) task->checkpoint = row.checkpoint;
+  task->SaveCheckpoint(row.checkpoint, now);
   if (row.end == RunEnd::kDone) {
     vm.consecutive_failures = 0;
     OnTaskDone(*job, *task, row, now);
