Compare the names of HTTP headers without case

A caller that sent `basilspur-deadline-ms` in lower case got the default deadline, and `host` in lower case no queue.

Cause: net::HttpRequest and HttpResponse kept headers in a map with the order of strings, under the names as they were received.

Change: net::HttpHeaders orders names without case (ASCII letters only). Requests of the node's own, its answers and the stand-ins use the same type.

Measured: with the former map, both cases of http_headers_test.cc fail (the handler reads "", expected "250"); now all of test_net pass.

--- a/src/libs/net/http_message.h
+++ b/src/libs/net/http_message.h
@@ -1,16 +1,17 @@
 #ifndef BASILSPUR_NET_HTTP_MESSAGE_H_
 #define BASILSPUR_NET_HTTP_MESSAGE_H_
 
-#include <map>
 #include <string>
 
+#include "net/http_headers.h"
+
 namespace basilspur::net {
 
 /// A complete HTTP request in memory, for small control messages.
 struct HttpRequest {
   std::string method = "GET";
   std::string target = "/";
-  std::map<std::string, std::string> headers;
+  HttpHeaders headers;
   std::string body;
 };
 
@@ -18,7 +19,7 @@
 struct HttpResponse {
   unsigned status = 200;
   std::string content_type = "application/octet-stream";
-  std::map<std::string, std::string> headers;
+  HttpHeaders headers;
   std::string body;
   /// Set by HttpClient: the response is to the second copy of the request. The
   /// peer may have processed the first one, or may still do so.
--- a/tests/system/cell.cc
+++ b/tests/system/cell.cc
@@ -162,7 +162,7 @@
   net::HttpRequest request;
   request.method = method;
   request.target = target;
-  request.headers = headers;
+  request.headers = {headers.begin(), headers.end()};
   request.body = body;
   net::HttpResponse response;
   response.status = 0;
