--- a/tests/auto/platform/wire_test.cc
+++ b/tests/auto/platform/wire_test.cc
@@ -129,8 +129,8 @@
 
 // An entry could not be told to be of another lifetime than the last report.
 TEST_CASE("a worker's start is read from its VM entry") {
-  const auto vm = DecodeVmListing(
-      "i-1", R"({"service":"s","address":"1.2.3.4:5","zone":"z",
+  const auto vm =
+      DecodeVmListing("i-1", R"({"service":"s","address":"1.2.3.4:5","zone":"z",
           "state":"ready","room":{"cpu":16000},"labels":["a","r1-3"],
           "born":1790000000123})");
   REQUIRE(IsOk(vm));
