--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -35,27 +35,11 @@
   return found == vms_.end() ? nullptr : found->second.get();
 }
 
-void Scheduler::ApplyCatalog(const Catalog& catalog) {
-  catalog_ = catalog;
-  for (auto& [key, job] : active_jobs_) {
-    const QueueConfig* queue = catalog_.FindQueue(job->record.queue);
-    if (!queue) continue;
-    JobRecord& record = job->record;
-    const bool same =
-        queue->service == record.service && queue->attempts == record.attempts;
-    if (same) continue;
-    record.service = queue->service;
-    record.attempts = queue->attempts;
-    job->record_dirty = true;
-    dirty_jobs_.insert(job->id);
-  }
-}
-
 void Scheduler::UpsertVm(const VmListing& listing, Millis now) {
   Vm* known = FindVm(listing.id);
   if (known) {
     known->listing = listing;
-    known->listed = true;
+    known->SetListed(true);
     return;
   }
   auto vm = std::make_unique<Vm>(listing);
@@ -67,7 +51,7 @@
 
 void Scheduler::UnlistVm(const std::string& id) {
   Vm* vm = FindVm(id);
-  if (vm) vm->listed = false;
+  if (vm) vm->SetListed(false);
 }
 
 void Scheduler::Restore(const std::string& id, const JobRecord& record,
@@ -76,15 +60,14 @@
   // Jobs may end before the first plan.
   wall_ms_ = wall_ms;
   auto owned = std::make_unique<Job>();
-  Job& job = *owned;
-  job.id = id;
-  job.record = record;
+  owned->id = id;
+  owned->record = record;
+  Job& job = AddJob(std::move(owned));
   job.accepted = true;
   job.inherited = true;
   job.durable_status = record.status;
   const std::int64_t age = wall_ms - record.accepted_wall_ms;
   job.accepted_at = now - Millis(std::max(age, std::int64_t{0}));
-  jobs_[id] = std::move(owned);
   job.has_progress_record = progress.has_value();
   if (progress) job.ApplyProgress(*progress);
   if (!IsFinal(record.status)) {
@@ -110,7 +93,7 @@
     unlisted.id = id;
     unlisted.address = address;
     UpsertVm(unlisted, now);
-    FindVm(id)->listed = false;
+    FindVm(id)->SetListed(false);
   }
   Vm& vm = *FindVm(id);
   if (!vm.inherited) vm.Inherit(now + settings_.max_inherited_lease);
@@ -122,7 +105,7 @@
                           Millis now) {
   Vm& vm = InheritVm(id, record.address, now);
   vm.last_end = vm.durable_end = record.last_end;
-  vm.worker_start_ms = record.worker_start_ms;
+  vm.SetWorkerStart(record.worker_start_ms);
   vm.in_journal = true;
 }
 
@@ -166,11 +149,12 @@
     vm->lease_bound_recorded = recorded_lease_expiries_.contains(id);
 }
 
-void Scheduler::Activate(Job& job) {
-  active_jobs_[{job.record.priority, {job.record.accepted_wall_ms, job.id}}] =
-      &job;
+Scheduler::ActiveJobKey Scheduler::KeyOf(const Job& job) {
+  return {job.record.priority, {job.record.accepted_wall_ms, job.id}};
 }
 
+void Scheduler::Activate(Job& job) { active_jobs_[KeyOf(job)] = &job; }
+
 SubmitResult Scheduler::Submit(const std::string& id, const QueueConfig& queue,
                                JobSpec spec, std::int64_t wall_ms, Millis now) {
   if (const Job* known = FindJob(id)) {
@@ -187,13 +171,14 @@
   job->record.service = queue.service;
   job->record.attempts = queue.attempts;
   job->record.priority = queue.priority;
+  job->record.catalog_version = catalog_.version;
   job->record.spec = std::move(spec);
   job->record.accepted_wall_ms = wall_ms;
   job->record_dirty = true;
   job->accepted_at = now;
   urgent_changes_ = true;
   dirty_jobs_.insert(id);
-  jobs_[id] = std::move(job);
+  AddJob(std::move(job));
   return SubmitResult::kNew;
 }
 
