Keep the records of a job with many tasks within the store's limit

Cause: the record of a job's progress listed each task that was ever started, also of finished occurrences, until the store refused it as longer than record_bytes; the append was repeated for good. Any job with some 4,000 running tasks had the same record. All past occurrences of a job became due at once (up to 10,000 times 10,000 tasks).

Change: - An occurrence that is over is retired: its tasks go out of memory and records, and part 0 keeps ranges of numbers. Hosts retire what the home cell has retired. - Occurrences become due while at most 10,000 tasks, or two occurrences, are present. Room counts only once the retirement is durable, so that an owner knows all that its predecessor may have started. - Progress is written in parts of 256 tasks. A job of up to 256 tasks has the record that it had, so earlier versions read it. - A record that is too long all the same (a checkpoint of 300 kB) is left out and logged, journal_record_too_long; what it would have made durable is not acknowledged. Limits are read from the settings, platform.record_bytes and platform.call_bytes. - A job whose record could not be stored (over 128 kB) gets 400, which now says why; so does one whose last start overflows.

--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -52,6 +52,9 @@
   /// Upper bound of the keys and values in one append, unless a single record
   /// is larger.
   std::size_t max_append_bytes = 1 << 20;
+  /// The store refuses an append with a longer record, key and value together
+  /// with the length of the key.
+  std::size_t max_record_bytes = 1 << 18;
   /// Loads of other cells are up to a second old, so room may be taken.
   int max_delegations_per_tick = 16;
   /// Interval at which one job that moved to another cell is looked up there.
@@ -189,6 +192,10 @@
   void RestoreMovedJob(const KeyedRecord& record);
   net::asio::awaitable<void> RunJournalWriter();
   net::asio::awaitable<bool> AppendToJournal(std::vector<KeyedRecord> records);
+  /// Removes the records that the store does not take, and what the batch would
+  /// make durable by them. Else no record of the cell could be written any
+  /// more.
+  void LeaveOutLongRecords(jobs::JournalBatch& batch) const;
   net::asio::awaitable<bool> WriteBatch(const jobs::JournalBatch& batch);
   net::asio::awaitable<void> RunRenewals(std::string id, Millis delay);
   net::asio::awaitable<bool> RenewOnce(const jobs::VmListing& listing);
--- a/src/libs/cell/cell_owner_journal.cc
+++ b/src/libs/cell/cell_owner_journal.cc
@@ -3,6 +3,7 @@
 
 #include "base/logging.h"
 #include "cell/cell_owner.h"
+#include "jobs/progress_parts.h"
 
 namespace basilspur::cell {
 
@@ -59,7 +60,7 @@
       co_await net::Sleep(kJournalReadRetryInterval);
       continue;
     }
-    std::map<std::string, jobs::ProgressRecord> progress;
+    std::map<std::string, std::optional<jobs::ProgressRecord>> progress;
     for (const KeyedRecord& record : ValueOf(read).records) {
       if (record.key.starts_with('v')) RestoreVm(record);
       if (record.key.starts_with('m')) RestoreMovedJob(record);
@@ -69,7 +70,8 @@
         LogUnreadable(record, ErrorOf(decoded));
         continue;
       }
-      progress[record.key.substr(1)] = ValueOf(decoded);
+      jobs::MergeProgress(ValueOf(decoded),
+                          progress[jobs::JobOfProgressKey(record.key)]);
     }
     for (const KeyedRecord& record : ValueOf(read).records) {
       if (!record.key.starts_with('j')) continue;
@@ -79,11 +81,8 @@
         continue;
       }
       const std::string id = record.key.substr(1);
-      const auto found = progress.find(id);
-      scheduler_.Restore(
-          id, ValueOf(decoded),
-          found == progress.end() ? std::nullopt : std::optional(found->second),
-          clock_.Wall().count, Now());
+      scheduler_.Restore(id, ValueOf(decoded), progress[id],
+                         clock_.Wall().count, Now());
     }
     co_return true;
   }
@@ -104,10 +103,10 @@
 }
 
 void CellOwner::LogJobEnds(const jobs::JournalBatch& batch) {
-  for (const auto& [id, status] : batch.jobs) {
-    if (!jobs::IsFinal(status) || scheduler_.IsEnded(id)) continue;
+  for (const auto& [id, job] : batch.jobs) {
+    if (!jobs::IsFinal(job.status) || scheduler_.IsEnded(id)) continue;
     queue_outlook_.OnJobEnded(Now());
-    kLog.Info("event=job_ended job=" + id + " state=" + NameOf(status) +
+    kLog.Info("event=job_ended job=" + id + " state=" + NameOf(job.status) +
               LogFields() + " sequence=" + std::to_string(sequence_) +
               " age_ms=" + std::to_string(scheduler_.AgeOf(id, Now()).count));
   }
@@ -128,7 +127,8 @@
       co_await batch_pending_.WaitFor(pause);
       continue;
     }
-    const jobs::JournalBatch batch = scheduler_.TakeBatch(clock_.Wall().count);
+    jobs::JournalBatch batch = scheduler_.TakeBatch(clock_.Wall().count);
+    LeaveOutLongRecords(batch);
     if (!co_await WriteBatch(batch)) co_return;
     LogJobEnds(batch);
     scheduler_.OnDurable(batch);
@@ -140,6 +140,22 @@
   }
 }
 
+void CellOwner::LeaveOutLongRecords(jobs::JournalBatch& batch) const {
+  std::erase_if(batch.entries, [&](const jobs::JournalEntry& entry) {
+    const std::size_t size = 1 + entry.key.size() + entry.value.size();
+    if (size <= settings_.max_record_bytes) return false;
+    kLog.Error("event=journal_record_too_long key=" + entry.key +
+               " bytes=" + std::to_string(size) +
+               " reason=\"the store would refuse all records that are written "
+               "with it; left out, the former record stays in force\"" +
+               LogFields());
+    if (entry.key.starts_with('j')) batch.jobs.erase(entry.key.substr(1));
+    const auto job = batch.jobs.find(jobs::JobOfProgressKey(entry.key));
+    if (job != batch.jobs.end()) job->second.retired = 0;
+    return true;
+  });
+}
+
 net::asio::awaitable<bool> CellOwner::WriteBatch(
     const jobs::JournalBatch& batch) {
   std::vector<KeyedRecord> records;
--- a/src/libs/jobs/delegation.h
+++ b/src/libs/jobs/delegation.h
@@ -54,10 +54,12 @@
   std::vector<DelegatedTask> tasks;
   /// How long the host may keep back its answer until there is news.
   std::int64_t wait_ms = 0;
+  /// Occurrences that the home cell has retired.
+  std::vector<OccurrenceRange> retired;
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
-    archive(self.job, self.record, self.tasks, self.wait_ms);
+    archive(self.job, self.record, self.tasks, self.wait_ms, self.retired);
   }
 };
 
--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -2,8 +2,15 @@
 
 #include <algorithm>
 
+#include "jobs/progress_parts.h"
+
 namespace basilspur::jobs {
 
+/// Bounds the memory that a job takes. Occurrences may overlap, so two are
+/// present at a time however many tasks they have.
+static constexpr int kMaxPresentTasks = 10'000;
+static constexpr int kMinPresentOccurrences = 2;
+
 Run* Task::FindRun(int number, std::string_view vm) {
   for (Run& run : runs) {
     if (run.number == number && run.vm == vm) return &run;
@@ -16,6 +23,23 @@
                      [](const Step& step) { return step.IsDone(); });
 }
 
+bool Occurrence::HasRuns() const {
+  return std::any_of(steps.begin(), steps.end(), [](const Step& step) {
+    return std::any_of(step.tasks.begin(), step.tasks.end(),
+                       [](const Task& task) { return !task.runs.empty(); });
+  });
+}
+
+bool Occurrence::IsOver() const {
+  if (!IsDone() || HasRuns()) return false;
+  return std::all_of(steps.begin(), steps.end(), [](const Step& step) {
+    return std::all_of(step.tasks.begin(), step.tasks.end(),
+                       [](const Task& task) {
+                         return task.host_cell < 0 && task.unsettled.empty();
+                       });
+  });
+}
+
 Occurrence* Job::FindOccurrence(int number) {
   for (Occurrence& occurrence : occurrences) {
     if (occurrence.number == number) return &occurrence;
@@ -34,14 +58,43 @@
 }
 
 Task* Job::FindOrAdd(const TaskRef& task) {
-  const bool later = task.occurrence >= next_occurrence &&
-                     task.occurrence < record.spec.Occurrences();
-  if (later && !record.spec.steps.empty()) {
-    while (next_occurrence <= task.occurrence) AddOccurrence(next_occurrence++);
+  if (IsGuest()) {
+    const bool missing =
+        task.occurrence >= 0 && task.occurrence < record.spec.Occurrences() &&
+        !FindOccurrence(task.occurrence) && !retired.Contains(task.occurrence);
+    if (missing) AddOccurrence(task.occurrence);
+  } else if (task.occurrence < OccurrenceLimit()) {
+    AddOccurrencesBefore(task.occurrence + 1);
   }
   return Find(task);
 }
 
+void Job::AddOccurrencesBefore(int end) {
+  end = std::min(end, record.spec.Occurrences());
+  if (record.spec.steps.empty()) return;
+  for (; next_occurrence < end; ++next_occurrence) {
+    if (!retired.Contains(next_occurrence)) AddOccurrence(next_occurrence);
+  }
+}
+
+int Job::OccurrenceLimit() const {
+  int tasks = 0;
+  for (const StepSpec& step : record.spec.steps) tasks += step.count;
+  const int present =
+      std::max(kMaxPresentTasks / std::max(tasks, 1), kMinPresentOccurrences);
+  return std::min(durably_retired + present, record.spec.Occurrences());
+}
+
+bool Job::RetireDoneOccurrences() {
+  const auto removed =
+      std::erase_if(occurrences, [&](const Occurrence& occurrence) {
+        if (!occurrence.IsOver()) return false;
+        retired.Add({occurrence.number, occurrence.number + 1});
+        return true;
+      });
+  return removed > 0;
+}
+
 Task& Job::At(const TaskRef& task) { return *Find(task); }
 
 bool Job::DependenciesDone(const Occurrence& occurrence, int step) const {
@@ -154,6 +207,7 @@
 ProgressRecord Job::MakeProgress() const {
   ProgressRecord progress;
   progress.finished_occurrences = finished_occurrences;
+  progress.retired = retired.Ranges();
   for (const Occurrence& occurrence : occurrences) {
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
       const std::vector<Task>& tasks = occurrence.steps[step].tasks;
@@ -169,8 +223,14 @@
 }
 
 void Job::ApplyProgress(const ProgressRecord& progress) {
-  finished_occurrences = progress.finished_occurrences;
+  retired = OccurrenceSet(progress.retired);
+  durably_retired = retired.Count();
+  progress_parts = {0};
   for (const TaskRecord& saved : progress.tasks) {
+    progress_parts.insert(ProgressPartOf(record.spec, saved));
+    // An earlier version may have had more occurrences at a time.
+    if (!IsGuest())
+      AddOccurrencesBefore(std::max(saved.occurrence + 1, retired.End()));
     Task* task = FindOrAdd({id, saved.occurrence, saved.step, saved.index});
     if (!task) continue;
     task->done = saved.done;
@@ -201,6 +261,13 @@
       task->runs.push_back(run);
     }
   }
+  if (IsGuest()) return;
+  AddOccurrencesBefore(retired.End());
+  finished_occurrences =
+      retired.Count() +
+      static_cast<int>(std::count_if(
+          occurrences.begin(), occurrences.end(),
+          [](const Occurrence& occurrence) { return occurrence.IsDone(); }));
 }
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -116,6 +117,10 @@
   std::vector<Step> steps;
 
   bool IsDone() const;
+  /// Whether a run of a task may be executing.
+  bool HasRuns() const;
+  /// Whether nothing of the occurrence is left to be done or told to hosts.
+  bool IsOver() const;
 };
 
 /// Rank of a job among those of its priority; lower values are scheduled first.
@@ -142,6 +147,10 @@
   std::deque<Occurrence> occurrences;  ///< Those that have become due.
   int finished_occurrences = 0;
   int next_occurrence = 0;  ///< Number of the next to become due.
+  /// Occurrences that are over. They are no longer among `occurrences`, and the
+  /// journal keeps no record of their tasks.
+  OccurrenceSet retired;
+  int durably_retired = 0;  ///< Number of those that the journal lists.
   bool accepted = false;    ///< The job is in the journal.
   bool started = false;     ///< A task of the job has been started.
   /// Only relief runs of the job have been started; they do not change its
@@ -153,7 +162,7 @@
   JobStatus durable_status = JobStatus::kActive;
   bool record_dirty = false;
   bool progress_dirty = false;
-  bool has_progress_record = false;  ///< The journal has a progress record.
+  std::set<int> progress_parts;  ///< Of its progress in the journal.
   Millis accepted_at;
   JobTier tier = JobTier::kOnTime;
   /// Position among the late jobs, from 1; 0: see LateJobOrder.
@@ -172,8 +181,13 @@
   Occurrence* FindOccurrence(int number);
   bool DependenciesDone(const Occurrence& occurrence, int step) const;
   /// Like Find, but first adds the task's occurrence if it has not become due
-  /// at this owner yet.
+  /// at this owner yet and is below OccurrenceLimit.
   Task* FindOrAdd(const TaskRef& task);
+  /// Occurrences from this one on don't become due before others are durably
+  /// retired, which bounds the number of present tasks.
+  int OccurrenceLimit() const;
+  /// Returns whether an occurrence was retired.
+  bool RetireDoneOccurrences();
   /// Adds an occurrence whose tasks all wait.
   Occurrence& AddOccurrence(int number);
   /// Whether runs of a task may have crashed `max_crashes` VMs.
@@ -202,6 +216,10 @@
   void ForEachTask(Visit visit);
   ProgressRecord MakeProgress() const;
   void ApplyProgress(const ProgressRecord& progress);
+
+ private:
+  /// Adds the occurrences before `end` that are not present.
+  void AddOccurrencesBefore(int end);
 };
 
 template <class Visit>
--- a/src/libs/jobs/job_progress.h
+++ b/src/libs/jobs/job_progress.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "jobs/job_spec.h"
+#include "jobs/occurrence_set.h"
 
 namespace basilspur::jobs {
 
@@ -120,14 +121,16 @@
   }
 };
 
-/// Journal record of a job's progress.
+/// Journal record of a job's progress, or of a part of it: see
+/// progress_parts.h.
 struct ProgressRecord {
-  std::vector<TaskRecord> tasks;
-  int finished_occurrences = 0;
+  std::vector<TaskRecord> tasks;         ///< None of retired occurrences.
+  int finished_occurrences = 0;          ///< Retired ones included.
+  std::vector<OccurrenceRange> retired;  ///< See Job::retired.
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
-    archive(self.tasks, self.finished_occurrences);
+    archive(self.tasks, self.finished_occurrences, self.retired);
   }
 };
 
--- a/src/libs/jobs/journal_batch.h
+++ b/src/libs/jobs/journal_batch.h
@@ -23,11 +23,17 @@
   std::int64_t number = 0;
 };
 
+/// What a batch says of a job.
+struct JournaledJob {
+  JobStatus status = JobStatus::kActive;
+  int retired = 0;  ///< Number of its retired occurrences.
+};
+
 /// Entries to write to the journal, and the state that they make durable.
 struct JournalBatch {
   std::int64_t number = 0;  ///< Counts the owner's batches from 1.
   std::vector<JournalEntry> entries;
-  std::map<std::string, JobStatus> jobs;     ///< Status after this batch.
+  std::map<std::string, JournaledJob> jobs;  ///< After this batch.
   std::map<std::string, ProcessedEnd> ends;  ///< By VM.
   std::vector<std::string> moved;            ///< Jobs moved to other cells.
 };
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "jobs/progress_parts.h"
+
 namespace basilspur::jobs {
 
 Scheduler::Scheduler(SchedulerSettings settings)
@@ -85,7 +87,6 @@
   const std::int64_t age = wall_ms - record.accepted_wall_ms;
   job.accepted_at = now - Millis(std::max(age, std::int64_t{0}));
   jobs_[id] = std::move(owned);
-  job.has_progress_record = progress.has_value();
   if (progress) job.ApplyProgress(*progress);
   if (!IsFinal(record.status)) {
     Activate(job);
@@ -228,6 +229,24 @@
          !dirty_vms_.empty() || moved_.HasChanges();
 }
 
+void Scheduler::AddProgress(Job& job, std::vector<JournalEntry>& entries) {
+  std::set<int> parts;
+  for (const auto& [part, progress] :
+       SplitProgress(job.record.spec, job.MakeProgress())) {
+    entries.push_back({ProgressKey(job.id, part), records::Encode(progress)});
+    parts.insert(part);
+    job.progress_parts.erase(part);
+  }
+  RemoveProgress(job, entries);
+  job.progress_parts = std::move(parts);
+}
+
+void Scheduler::RemoveProgress(Job& job, std::vector<JournalEntry>& entries) {
+  for (const int part : job.progress_parts)
+    entries.push_back({ProgressKey(job.id, part), {}});
+  job.progress_parts.clear();
+}
+
 JournalBatch Scheduler::TakeBatch(std::int64_t wall_ms) {
   PurgeEndedJobs(wall_ms);
   JournalBatch batch;
@@ -236,7 +255,7 @@
   pending_deletions_.clear();
   for (const std::string& id : dirty_jobs_) {
     Job& job = *FindJob(id);
-    batch.jobs[id] = job.record.status;
+    batch.jobs[id] = {job.record.status, job.retired.Count()};
     // The spec and the progress are kept until all runs have been stopped.
     const bool over = IsFinal(job.record.status) && !job.HasRuns();
     if (job.record_dirty) {
@@ -244,13 +263,8 @@
       if (over) record.spec = {};
       batch.entries.push_back({"j" + id, records::Encode(record)});
     }
-    if (over && job.has_progress_record)
-      batch.entries.push_back({"p" + id, {}});
-    if (over) job.has_progress_record = false;
-    if (!over && job.progress_dirty) {
-      batch.entries.push_back({"p" + id, records::Encode(job.MakeProgress())});
-      job.has_progress_record = true;
-    }
+    if (over) RemoveProgress(job, batch.entries);
+    if (!over && job.progress_dirty) AddProgress(job, batch.entries);
     job.record_dirty = job.progress_dirty = false;
   }
   dirty_jobs_.clear();
@@ -270,14 +284,15 @@
 
 void Scheduler::OnDurable(const JournalBatch& batch) {
   durable_batches_ = batch.number;
-  for (const auto& [id, status] : batch.jobs) {
+  for (const auto& [id, state] : batch.jobs) {
     Job* job = FindJob(id);
     if (!job) continue;
     if (!job->accepted) {
       job->accepted = true;
       if (!IsFinal(job->record.status)) Activate(*job);
     }
-    job->durable_status = status;
+    job->durable_status = state.status;
+    job->durably_retired = state.retired;
   }
   for (const auto& [id, end] : batch.ends) {
     Vm* vm = FindVm(id);
@@ -306,14 +321,13 @@
 
 void Scheduler::PurgeEndedJobs(std::int64_t wall_ms) {
   for (auto it = jobs_.begin(); it != jobs_.end();) {
-    const Job& job = *it->second;
+    Job& job = *it->second;
     if (!CanPurge(job, wall_ms)) {
       ++it;
       continue;
     }
     pending_deletions_.push_back({"j" + job.id, {}});
-    if (job.has_progress_record)
-      pending_deletions_.push_back({"p" + job.id, {}});
+    RemoveProgress(job, pending_deletions_);
     std::erase_if(active_jobs_,
                   [&](const auto& item) { return item.second == &job; });
     it = jobs_.erase(it);
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -375,6 +375,16 @@
                      DelegatedTaskReport& row) const;
 
   void AddDueOccurrences(Job& job, std::int64_t wall_ms);
+  /// Removes the finished occurrences of a job that repeats.
+  void RetireOccurrences(Job& job);
+  /// The home cell has retired these occurrences, so no delegation of their
+  /// tasks is valid any more.
+  void RetireOccurrencesOfGuest(Job& job,
+                                const std::vector<OccurrenceRange>& retired);
+  /// Appends the entries for the job's present progress.
+  static void AddProgress(Job& job, std::vector<JournalEntry>& entries);
+  /// Appends the entries that remove the job's progress from the journal.
+  static void RemoveProgress(Job& job, std::vector<JournalEntry>& entries);
   void PlanJob(Job& job, const std::vector<Vm*>& vms, Millis now,
                std::vector<RunCommand>& commands);
   void PlanStep(Job& job, Occurrence& occurrence, int step,
--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -117,6 +117,7 @@
         delegation.wait_ms = settings_.max_delegation_hold.count;
       if (!IsDue(delegation, delegations_sent_[{id, cell}], now)) continue;
       delegation.record = job->record;
+      delegation.retired = job->retired.Ranges();
       due.emplace_back(cell, std::move(delegation));
     }
   }
@@ -204,6 +205,7 @@
       std::any_of(delegation.tasks.begin(), delegation.tasks.end(),
                   [](const DelegatedTask& task) { return !task.settled; });
   if (!job && wants_runs) job = &AddGuestJob(delegation, wall_ms);
+  if (job) RetireOccurrencesOfGuest(*job, delegation.retired);
   for (const DelegatedTask& wanted : delegation.tasks) {
     const TaskRef ref = wanted.RefIn(delegation.job);
     DelegatedTaskReport& row = report.tasks.emplace_back();
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -101,16 +101,6 @@
   return all;
 }
 
-void Scheduler::AddDueOccurrences(Job& job, std::int64_t wall_ms) {
-  const JobSpec& spec = job.record.spec;
-  while (job.next_occurrence < spec.Occurrences()) {
-    const std::int64_t due =
-        spec.first_start_ms + job.next_occurrence * spec.interval_ms;
-    if (spec.repeats > 0 && wall_ms < due) return;
-    job.AddOccurrence(job.next_occurrence++);
-  }
-}
-
 void Scheduler::PlanJob(Job& job, const std::vector<Vm*>& vms, Millis now,
                         std::vector<RunCommand>& commands) {
   AddDueOccurrences(job, wall_ms_);
--- a/tests/auto/cell/fake_store.cc
+++ b/tests/auto/cell/fake_store.cc
@@ -43,6 +43,13 @@
     co_return answer;
   }
   epoch = producer.epoch;
+  for (const KeyedRecord& record : records) {
+    if (1 + record.key.size() + record.value.size() <= max_record_bytes)
+      continue;
+    AppendAnswer answer;
+    answer.outcome = AppendOutcome::kRefused;
+    co_return answer;
+  }
   const auto end = static_cast<std::int64_t>(Records(partition).size());
   const AppendAnswer answer = Append(partition, end, records);
   if (producer_append_time > Millis(0))
--- a/tests/auto/cell/fake_store.h
+++ b/tests/auto/cell/fake_store.h
@@ -50,6 +50,8 @@
   std::function<void()> on_append_as;
   /// Time between carrying out AppendAs and its answer.
   Millis producer_append_time{0};
+  /// AppendAs refuses longer records, as the platform's store does.
+  std::size_t max_record_bytes = 262'144;
   /// Until this is unset, ReadFrom does not answer.
   bool watchers_cut = false;
   /// Offset below which ReadFrom has lost its history.
--- a/tests/auto/jobs/scheduler_fixture.cc
+++ b/tests/auto/jobs/scheduler_fixture.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "jobs/progress_parts.h"
+
 namespace basilspur::jobs {
 
 static constexpr Millis kCallTime(10);
@@ -133,9 +135,9 @@
     if (!key.starts_with('j')) continue;
     const std::string id = key.substr(1);
     std::optional<ProgressRecord> progress;
-    const auto found = journal.find("p" + id);
-    if (found != journal.end()) {
-      progress = ValueOf(records::Decode<ProgressRecord>(found->second));
+    for (const auto& [part_key, part] : journal) {
+      if (part_key.starts_with('p') && JobOfProgressKey(part_key) == id)
+        MergeProgress(ValueOf(records::Decode<ProgressRecord>(part)), progress);
     }
     next->Restore(id, ValueOf(records::Decode<JobRecord>(value)), progress,
                   wall_ms, now);
--- a/tests/auto/platform/boot_settings_test.cc
+++ b/tests/auto/platform/boot_settings_test.cc
@@ -32,6 +32,14 @@
   CHECK(ValueOf(settings).ended_job_retention == Millis(120'000));
 }
 
+TEST_CASE("the store's limits are read from the settings") {
+  const std::string limits = "record_bytes = 65536\ncall_bytes = 524288\n";
+  const auto settings = ParseBootSettings(kValidSettings + limits, "test");
+  REQUIRE(IsOk(settings));
+  CHECK(ValueOf(settings).max_record_bytes == 65'536);
+  CHECK(ValueOf(settings).max_call_bytes == 524'288);
+}
+
 TEST_CASE("data centers may close only if the settings bound it") {
   const std::string settings = kValidSettings;
   CHECK(ValueOf(ParseBootSettings(settings, "test")).closure_bound ==
--- a/tests/auto/platform/wire_test.cc
+++ b/tests/auto/platform/wire_test.cc
@@ -64,6 +64,23 @@
   }
 }
 
+/// Its record could not be written, and held up all others of the cell.
+TEST_CASE("a job that is too long for a record is rejected") {
+  const std::string label(200'000, 'x');
+  const auto job =
+      DecodeJobSpec(R"({"spec":"x","steps":[{"count":1,"required_label":")" +
+                    label + R"("}]})");
+  REQUIRE(!IsOk(job));
+  CHECK(ErrorOf(job).message == "the job is too long to be stored");
+}
+
+TEST_CASE("the time of a job's last occurrence does not overflow") {
+  const std::string start =
+      R"({"spec":"x","steps":[{"count":1}],"repeats":10000,"interval_ms":)";
+  CHECK(!IsOk(DecodeJobSpec(start + "1000000000000000}")));
+  CHECK(IsOk(DecodeJobSpec(start + "86400000}")));
+}
+
 TEST_CASE("a VM entry in another program's format is rejected") {
   const std::string valid_entry =
       R"({"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready",
