Run work that needs a label where a cell has the label

Cause: the cell of a job was chosen by loads alone, tasks that end and require a label were never delegated, and the host of a lasting one was chosen by free room, so that it went to and fro between two cells without the label. Gangs never leave their cell, which was chosen without regard to their size.

Change: - EligibleCells: the cells whose VMs, by the list that owners read, can run all steps of a job that require a label or are gangs. A new job goes to one of these, to its home cell if that is one. ChooseHostWithLabel picks the host of a task that requires a label, be it short or lasting. Entries of earlier versions publish none and are not chosen. - DelegationPolicy counts only VMs with the label: a task goes at once if none will have room, else after the delay of other tasks.

Not covered: a gang that is accepted and whose cell loses its VMs afterwards stays there; admission refuses with 429, as before, only what no listed VM can run.

--- a/src/libs/cell/cell_balancer.cc
+++ b/src/libs/cell/cell_balancer.cc
@@ -1,6 +1,7 @@
 #include "cell/cell_balancer.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "base/hashing.h"
 
@@ -49,8 +50,26 @@
          std::max(unused, 1.0);
 }
 
+int CellBalancer::DrawEligibleCell(std::uint64_t hash,
+                                   const std::set<int>& eligible,
+                                   bool best_effort) const {
+  std::optional<int> best;
+  for (int i = 0; i < kCandidateCells; ++i) {
+    hash = MixBits(hash + 1);
+    const auto position = static_cast<int>(hash % eligible.size());
+    const int candidate = *std::next(eligible.begin(), position);
+    const bool is_better = !best || loads_[*best].capacity_cpu_millis <= 0 ||
+                           (loads_[candidate].capacity_cpu_millis > 0 &&
+                            LoadRatio(loads_[candidate], best_effort) <
+                                LoadRatio(loads_[*best], best_effort));
+    if (is_better) best = candidate;
+  }
+  return *best;
+}
+
 int CellBalancer::ChooseCell(int home_cell, std::string_view id,
-                             const jobs::JobSpec& spec) {
+                             const jobs::JobSpec& spec,
+                             const std::set<int>& eligible) {
   const Demand demand = DemandOf(spec);
   const auto cells = static_cast<std::uint64_t>(loads_.size());
   int best = home_cell;
@@ -61,11 +80,14 @@
   // In a closed cell the job would wait, so more cells are drawn for one that
   // accepts work.
   const int draws = home_closed ? kDrawsFromClosedCell : kCandidateCells;
-  for (int i = 0; i < draws && home_known; ++i) {
+  const bool can_stay = eligible.empty() || eligible.contains(home_cell);
+  if (!can_stay) best = DrawEligibleCell(hash, eligible, demand.best_effort);
+  for (int i = 0; i < draws && home_known && can_stay; ++i) {
     hash = MixBits(hash + 1);
     const int candidate = static_cast<int>(hash % cells);
     if (candidate == best || loads_[candidate].capacity_cpu_millis <= 0)
       continue;
+    if (!eligible.empty() && !eligible.contains(candidate)) continue;
     if (loads_[best].closed) {
       best = candidate;
       continue;
@@ -103,6 +125,29 @@
   return best;
 }
 
+std::optional<int> CellBalancer::ChooseHostWithLabel(
+    int home_cell, const records::Resources& need, const std::string& label,
+    int excluded) {
+  std::optional<int> best;
+  jobs::LabelRoom* best_room = nullptr;
+  for (int cell = 0; cell < static_cast<int>(loads_.size()); ++cell) {
+    if (cell == home_cell || cell == excluded) continue;
+    for (jobs::LabelRoom& room : loads_[cell].label_rooms) {
+      if (room.label != label || !need.FitsIn(room.room)) continue;
+      if (best_room && best_room->room.cpu_millis >= room.room.cpu_millis)
+        continue;
+      best = cell;
+      best_room = &room;
+    }
+  }
+  // Until the cell publishes its load again, the room counts as taken.
+  if (best) {
+    best_room->room = best_room->room - need;
+    loads_[*best].charged_cpu_millis += need.cpu_millis;
+  }
+  return best;
+}
+
 bool CellBalancer::HasRoomElsewhere(int home_cell) const {
   for (int cell = 0; cell < static_cast<int>(loads_.size()); ++cell) {
     if (cell != home_cell && !loads_[cell].rooms.empty()) return true;
--- a/src/libs/cell/cell_balancer.h
+++ b/src/libs/cell/cell_balancer.h
@@ -1,7 +1,10 @@
 #ifndef BASILSPUR_CELL_CELL_BALANCER_H_
 #define BASILSPUR_CELL_CELL_BALANCER_H_
 
+#include <cstdint>
 #include <optional>
+#include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -30,13 +33,21 @@
   void OnLoad(int cell, const CellLoad& load) { loads_[cell] = load; }
 
   /// Returns the cell for the job `id`, whose home is `home_cell`, and adds the
-  /// job to that cell's load.
-  int ChooseCell(int home_cell, std::string_view id, const jobs::JobSpec& spec);
+  /// job to that cell's load. If `eligible` is not empty, it is one of these.
+  int ChooseCell(int home_cell, std::string_view id, const jobs::JobSpec& spec,
+                 const std::set<int>& eligible = {});
   /// Returns the cell that should host a task of `home_cell`, which has no
   /// place for it: of those with room on a VM, the one with the largest. Empty
   /// if there is none. The cell `excluded` is left out, if it is not -1.
   std::optional<int> ChooseHost(int home_cell, const records::Resources& need,
                                 int excluded);
+  /// Returns the cell that should host a task that requires a label: of those
+  /// with room on a VM with the label, the one with the largest. Other
+  /// arguments as for ChooseHost.
+  std::optional<int> ChooseHostWithLabel(int home_cell,
+                                         const records::Resources& need,
+                                         const std::string& label,
+                                         int excluded);
   /// Whether a cell other than `home_cell` publishes room for tasks that end.
   bool HasRoomElsewhere(int home_cell) const;
   /// Returns the cell that should host a task that ends: of those with room on
@@ -48,6 +59,10 @@
                                            int excluded);
 
  private:
+  /// Draws the cell of a job that its home cell can't run.
+  int DrawEligibleCell(std::uint64_t hash, const std::set<int>& eligible,
+                       bool best_effort) const;
+
   std::vector<CellLoad> loads_;
 };
 
--- a/src/libs/cell/cell_load.h
+++ b/src/libs/cell/cell_load.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "jobs/label_room.h"
 #include "records/resources.h"
 
 namespace basilspur::cell {
@@ -27,12 +28,15 @@
   /// Free capacity of the VMs that have the most. Entries of earlier versions,
   /// which can't host tasks that end, publish none.
   std::vector<records::Resources> rooms = {};
+  /// Room for tasks that require a label. Entries of earlier versions publish
+  /// none.
+  std::vector<jobs::LabelRoom> label_rooms = {};
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.capacity_cpu_millis, self.charged_cpu_millis,
             self.waiting_cpu_millis, self.best_effort_cpu_millis,
-            self.largest_room, self.closed, self.rooms);
+            self.largest_room, self.closed, self.rooms, self.label_rooms);
   }
 };
 
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -208,6 +208,7 @@
   load.largest_room = summary.largest_room;
   load.closed = summary.closed_vms > 0 && summary.capacity_cpu_millis == 0;
   load.rooms = summary.rooms;
+  load.label_rooms = summary.label_rooms;
   return load;
 }
 
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -85,7 +85,7 @@
   struct Callbacks {
     /// Chooses the cell that runs a new job whose home is this cell.
     std::function<int(int home_cell, const std::string& job,
-                      const jobs::JobSpec& spec)>
+                      const std::string& service, const jobs::JobSpec& spec)>
         choose_cell;
     /// Sends a request to the owner of the request's cell.
     std::function<net::asio::awaitable<JobReply>(JobRequest request)>
@@ -100,6 +100,12 @@
     std::function<std::optional<int>(
         int home_cell, const records::Resources& need, int excluded)>
         choose_host_of_short_task;
+    /// Like choose_host, for a task that requires a label. May be empty: there
+    /// is none.
+    std::function<std::optional<int>(int home_cell,
+                                     const records::Resources& need,
+                                     const std::string& label, int excluded)>
+        choose_host_with_label;
     /// Returns why no listed VM can serve a job; empty: accept it.
     std::function<std::optional<jobs::AdmissionRefusal>(
         const std::string& service, const jobs::JobSpec& spec)>
@@ -219,6 +225,14 @@
   /// delegations.
   void SyncDelegations();
   void DelegateShortTasks();
+  using HostChoice = std::function<std::optional<int>(
+      int home_cell, const records::Resources& need, int excluded)>;
+  /// Returns the host for a task, as chosen by `choose_without_label` or, if
+  /// it requires a label, by Callbacks::choose_host_with_label.
+  std::optional<int> ChooseHost(const HostChoice& choose_without_label,
+                                const jobs::TaskRef& ref,
+                                const records::Resources& need,
+                                int avoided) const;
   /// Call when delegations may have become due.
   void SendDueDelegations();
   net::asio::awaitable<void> SendDelegation(std::shared_ptr<CellOwner> self,
--- a/src/libs/cell/cell_owner_delegations.cc
+++ b/src/libs/cell/cell_owner_delegations.cc
@@ -10,14 +10,26 @@
 
 static constexpr LogCategory kLog("cell");
 
+std::optional<int> CellOwner::ChooseHost(const HostChoice& choose_without_label,
+                                         const jobs::TaskRef& ref,
+                                         const records::Resources& need,
+                                         int avoided) const {
+  const std::string& label = scheduler_.SpecOf(ref).required_label;
+  if (label.empty())
+    return choose_without_label(ownership_.cell, need, avoided);
+  if (!callbacks_.choose_host_with_label) return std::nullopt;
+  return callbacks_.choose_host_with_label(ownership_.cell, need, label,
+                                           avoided);
+}
+
 void CellOwner::SyncDelegations() {
   if (!ready_ || draining_ || stopped_) return;
   int delegated = 0;
   for (const jobs::TaskRef& ref : scheduler_.TasksToDelegate(Now())) {
     if (delegated >= settings_.max_delegations_per_tick) break;
     const std::optional<int> host =
-        callbacks_.choose_host(ownership_.cell, scheduler_.SpecOf(ref).Charge(),
-                               scheduler_.CellToAvoid(ref, Now()));
+        ChooseHost(callbacks_.choose_host, ref, scheduler_.SpecOf(ref).Charge(),
+                   scheduler_.CellToAvoid(ref, Now()));
     if (!host) continue;
     ++delegated;
     scheduler_.Delegate(ref, *host);
@@ -35,16 +47,18 @@
 void CellOwner::DelegateShortTasks() {
   if (!callbacks_.has_room_elsewhere(ownership_.cell)) return;
   std::map<int, int> delegated;
-  // Tasks that need as much as this one have no host, either.
-  std::optional<records::Resources> without_host;
+  // Tasks with the same label that need as much have no host, either.
+  std::map<std::string, records::Resources> without_host;
   for (const jobs::TaskRef& ref : scheduler_.ShortTasksToDelegate(Now())) {
     const records::Resources& need = scheduler_.SpecOf(ref).need;
-    if (without_host && without_host->FitsIn(need)) continue;
+    const std::string& label = scheduler_.SpecOf(ref).required_label;
+    const auto known = without_host.find(label);
+    if (known != without_host.end() && known->second.FitsIn(need)) continue;
     const int avoided = scheduler_.CellToAvoid(ref, Now());
     const std::optional<int> host =
-        callbacks_.choose_host_of_short_task(ownership_.cell, need, avoided);
+        ChooseHost(callbacks_.choose_host_of_short_task, ref, need, avoided);
     if (!host) {
-      if (avoided < 0) without_host = need;
+      if (avoided < 0) without_host[label] = need;
       continue;
     }
     scheduler_.Delegate(ref, *host);
--- a/src/libs/cell/cell_owner_requests.cc
+++ b/src/libs/cell/cell_owner_requests.cc
@@ -63,10 +63,10 @@
     const auto refused = RefuseUnservable(request, queue->service);
     if (refused) return refused;
   }
-  const int cell =
-      request.moved
-          ? ownership_.cell
-          : callbacks_.choose_cell(ownership_.cell, request.job, request.spec);
+  const int cell = request.moved
+                       ? ownership_.cell
+                       : callbacks_.choose_cell(ownership_.cell, request.job,
+                                                queue->service, request.spec);
   if (cell != ownership_.cell) {
     scheduler_.Moved().Add(request.job, cell, Now());
     kLog.Info("event=job_moved job=" + request.job + " from=" +
--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -5,6 +5,7 @@
 
 #include "base/hashing.h"
 #include "base/logging.h"
+#include "cell/eligible_cells.h"
 #include "cell/leaving.h"
 #include "net/spawn.h"
 
@@ -144,8 +145,13 @@
   StartDirectory();
   CellOwner::Callbacks callbacks;
   callbacks.choose_cell = [this](int home_cell, const std::string& job,
+                                 const std::string& service,
                                  const jobs::JobSpec& spec) {
-    return balancer_->ChooseCell(home_cell, job, spec);
+    const Fleet fleet{vms_, closures_, [this](const jobs::VmListing& vm) {
+                        return layout_.CellOfRack(vm.rack);
+                      }};
+    return balancer_->ChooseCell(home_cell, job, spec,
+                                 EligibleCells(fleet, service, spec));
   };
   callbacks.forward_request = [this](JobRequest request) {
     return forwarder_.Forward(std::move(request));
@@ -158,6 +164,11 @@
                                  int excluded) {
     return balancer_->ChooseHost(home_cell, need, excluded);
   };
+  callbacks.choose_host_with_label =
+      [this](int home_cell, const records::Resources& need,
+             const std::string& label, int excluded) {
+        return balancer_->ChooseHostWithLabel(home_cell, need, label, excluded);
+      };
   callbacks.has_room_elsewhere = [this](int home_cell) {
     return balancer_->HasRoomElsewhere(home_cell);
   };
--- a/src/libs/jobs/cell_summary.h
+++ b/src/libs/jobs/cell_summary.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "jobs/label_room.h"
 #include "jobs/task_copy.h"
 #include "records/resources.h"
 
@@ -43,6 +44,8 @@
   /// Free capacity of the VMs that accept work and have the most free
   /// processors, in this order; at most kMaxPublishedRooms.
   std::vector<records::Resources> rooms;
+  /// Of those VMs, by label in ascending order; at most kMaxPublishedLabels.
+  std::vector<LabelRoom> label_rooms;
 };
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/delegation_policy.cc
+++ b/src/libs/jobs/delegation_policy.cc
@@ -9,15 +9,17 @@
 /// if the first one has no room after all.
 static constexpr int kWaitDivisor = 2;
 
-bool CellCapacity::HasVms(const std::string& service) const {
+bool CellCapacity::HasVms(const std::string& service,
+                          const StepSpec& step) const {
   return std::any_of(vms.begin(), vms.end(),
-                     [&](const Vm& vm) { return vm.service == service; });
+                     [&](const Vm& vm) { return vm.MayHost(service, step); });
 }
 
 bool CellCapacity::WillFit(const std::string& service,
-                           const records::Resources& need) const {
+                           const StepSpec& step) const {
+  const records::Resources charge = step.Charge();
   return std::any_of(vms.begin(), vms.end(), [&](const Vm& vm) {
-    return vm.service == service && need.FitsIn(vm.beside_long_running);
+    return vm.MayHost(service, step) && charge.FitsIn(vm.beside_long_running);
   });
 }
 
@@ -26,14 +28,11 @@
     const CellCapacity& capacity, std::optional<Millis> max_wait) const {
   if (spec.gang) return std::nullopt;
   if (spec.long_running) return settings_.delegation_delay;
-  // Published loads do not name labels, so most hosts would return the task.
-  if (!spec.required_label.empty()) return std::nullopt;
-  if (!capacity.HasVms(service)) return settings_.min_delegation_delay;
+  if (!capacity.HasVms(service, spec)) return settings_.min_delegation_delay;
   // Unused processors and predicted tails change within a second, and new
   // best-effort jobs are spread over the cells by them already.
   if (spec.best_effort) return std::nullopt;
-  if (!capacity.WillFit(service, spec.Charge()))
-    return settings_.min_delegation_delay;
+  if (!capacity.WillFit(service, spec)) return settings_.min_delegation_delay;
   if (!max_wait) return settings_.delegation_delay;
   return std::clamp(Millis(max_wait->count / kWaitDivisor),
                     settings_.min_delegation_delay, settings_.delegation_delay);
--- a/src/libs/jobs/delegation_policy.h
+++ b/src/libs/jobs/delegation_policy.h
@@ -19,14 +19,25 @@
   struct Vm {
     std::string service;
     records::Resources beside_long_running;
+    std::string kind = {};
+    std::string rack = {};
+
+    /// Whether tasks of the step may run there.
+    bool MayHost(const std::string& service_of_step,
+                 const StepSpec& step) const {
+      const std::string& label = step.required_label;
+      return service == service_of_step &&
+             (label.empty() || label == kind || label == rack);
+    }
   };
   std::vector<Vm> vms;
 
-  /// Whether a VM of the service accepts work.
-  bool HasVms(const std::string& service) const;
-  /// Whether the need fits on a VM once the shorter tasks on it have ended.
-  bool WillFit(const std::string& service,
-               const records::Resources& need) const;
+  /// Whether a VM of the service accepts work, with the label of the step if
+  /// that requires one.
+  bool HasVms(const std::string& service, const StepSpec& step) const;
+  /// Whether a task of the step fits on such a VM once the shorter tasks on it
+  /// have ended.
+  bool WillFit(const std::string& service, const StepSpec& step) const;
 };
 
 /// Decides which tasks without a place another cell should host, and when.
--- a/src/libs/jobs/scheduler_delegated_results.cc
+++ b/src/libs/jobs/scheduler_delegated_results.cc
@@ -11,8 +11,9 @@
                               !vm->listing.draining &&
                               !closures_.IsClosed(vm->listing.data_center);
     if (!accepts_work) continue;
-    capacity.vms.push_back(
-        {vm->listing.service, vm->CapacityBesideLongRunning()});
+    capacity.vms.push_back({vm->listing.service,
+                            vm->CapacityBesideLongRunning(), vm->listing.kind,
+                            vm->listing.rack});
   }
   return capacity;
 }
--- a/src/libs/jobs/scheduler_status.cc
+++ b/src/libs/jobs/scheduler_status.cc
@@ -66,6 +66,16 @@
   }
 }
 
+static void AddLabelRooms(const VmListing& listing,
+                          const records::Resources& free,
+                          std::map<std::string, records::Resources>& rooms) {
+  for (const std::string& label : {listing.kind, listing.rack}) {
+    if (label.empty()) continue;
+    records::Resources& room = rooms[label];
+    if (free.cpu_millis > room.cpu_millis) room = free;
+  }
+}
+
 CellSummary Scheduler::Summary(Millis now) const {
   CellSummary summary;
   summary.preempted_runs = preemption_policy_.StopCount();
@@ -89,6 +99,7 @@
     if (summary.waiting_tasks == before) continue;
     summary.oldest_wait = std::max(summary.oldest_wait, now - job->accepted_at);
   }
+  std::map<std::string, records::Resources> label_rooms;
   for (const auto& [id, vm] : vms_) {
     if (!vm->listed) continue;
     if (!vm->reachable) ++summary.unreachable_vms;
@@ -105,6 +116,7 @@
                           !vm->ReservationOfOther({}, now) &&
                           free.cpu_millis > 0 && free.memory_mib > 0;
     if (has_room) summary.rooms.push_back(free);
+    if (has_room) AddLabelRooms(vm->listing, free, label_rooms);
     summary.free_cpu_millis += free.cpu_millis;
     summary.capacity_cpu_millis += vm->listing.capacity.cpu_millis;
   }
@@ -115,6 +127,10 @@
         return a.cpu_millis > b.cpu_millis;
       });
   summary.rooms.resize(kept);
+  for (const auto& [label, room] : label_rooms) {
+    if (summary.label_rooms.size() == kMaxPublishedLabels) break;
+    summary.label_rooms.push_back({label, room});
+  }
   return summary;
 }
 
--- a/tests/auto/cell/cell_balancer_test.cc
+++ b/tests/auto/cell/cell_balancer_test.cc
@@ -151,3 +151,30 @@
   balancer.OnLoad(4, load);
   CHECK(!balancer.ChooseHostOfShortTask(5, need, /*excluded=*/4));
 }
+
+/// The host of a labelled task was chosen by free room alone.
+TEST_CASE("the host of a labelled task has a VM with the label") {
+  CellBalancer balancer = MakeBalancer(0);
+  CellLoad load{kCapacity, 0, 0, 0, {64'000, 64'000, 0}};
+  balancer.OnLoad(1, load);
+  load.largest_room = {16'000, 64'000, 0};
+  load.label_rooms = {{"disk", {4'000, 8'000, 0}}};
+  balancer.OnLoad(2, load);
+  const records::Resources need{3'000, 1'000, 0};
+  CHECK(!balancer.ChooseHostWithLabel(0, need, "other", -1));
+  CHECK(!balancer.ChooseHostWithLabel(0, need, "disk", 2));
+  CHECK(balancer.ChooseHostWithLabel(0, need, "disk", -1) == 2);
+  // The room counts as taken.
+  CHECK(!balancer.ChooseHostWithLabel(0, need, "disk", -1));
+}
+
+TEST_CASE("a job goes only to eligible cells, and stays if it can") {
+  CellBalancer balancer = MakeBalancer(500'000);
+  balancer.OnLoad(3, {kCapacity, 0, 0, 0});
+  for (int i = 0; i < 30; ++i) {
+    const jobs::JobSpec job = MakeJob(500, 2, false);
+    CHECK(balancer.ChooseCell(0, IdOf(i), job, {2, 4}) % 2 == 0);
+    CHECK(balancer.ChooseCell(0, IdOf(i), job, {2, 4}) > 0);
+    CHECK(balancer.ChooseCell(0, IdOf(i), job, {0, 1}) <= 1);
+  }
+}
--- a/tests/auto/cell/cell_member_fixture.cc
+++ b/tests/auto/cell/cell_member_fixture.cc
@@ -35,6 +35,7 @@
     ownerships.push_back(ownership);
     CellOwner::Callbacks owner_callbacks;
     owner_callbacks.choose_cell = [](int home, const std::string&,
+                                     const std::string&,
                                      const jobs::JobSpec&) { return home; };
     owner_callbacks.has_room_elsewhere = [](int) { return false; };
     owner_callbacks.choose_host = [](int, const records::Resources&, int) {
