--- a/src/libs/cell/cell_load.h
+++ b/src/libs/cell/cell_load.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "jobs/label_room.h"
 #include "records/resources.h"
 
 namespace basilspur::cell {
@@ -30,13 +31,16 @@
   /// The same without what tasks that end use. Entries of earlier versions
   /// publish none.
   std::vector<records::Resources> long_running_rooms = {};
+  /// Room for tasks that require a label. Entries of earlier versions publish
+  /// none.
+  std::vector<jobs::LabelRoom> label_rooms = {};
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.capacity_cpu_millis, self.charged_cpu_millis,
             self.waiting_cpu_millis, self.best_effort_cpu_millis,
-            self.largest_room, self.closed, self.rooms,
-            self.long_running_rooms);
+            self.largest_room, self.closed, self.rooms, self.long_running_rooms,
+            self.label_rooms);
   }
 };
 
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -210,6 +210,7 @@
   load.closed = summary.closed_vms > 0 && summary.capacity_cpu_millis == 0;
   load.rooms = summary.rooms;
   load.long_running_rooms = summary.long_running_rooms;
+  load.label_rooms = summary.label_rooms;
   return load;
 }
 
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -57,6 +57,9 @@
   /// Upper bound of the keys and values in one append, unless a single record
   /// is larger.
   std::size_t max_append_bytes = 1 << 20;
+  /// The store refuses an append with a longer record, key and value together
+  /// with the length of the key.
+  std::size_t max_record_bytes = 1 << 18;
   /// Loads of other cells are up to a second old, so room may be taken.
   int max_delegations_per_tick = 16;
   /// Interval at which one job that moved to another cell is looked up there.
@@ -87,7 +90,7 @@
   struct Callbacks {
     /// Chooses the cell that runs a new job whose home is this cell.
     std::function<int(int home_cell, const std::string& job,
-                      const jobs::JobSpec& spec)>
+                      const std::string& service, const jobs::JobSpec& spec)>
         choose_cell;
     /// Sends a request to the owner of the request's cell.
     std::function<net::asio::awaitable<JobReply>(JobRequest request)>
@@ -102,6 +105,12 @@
     std::function<std::optional<int>(
         int home_cell, const records::Resources& need, int excluded)>
         choose_host_of_short_task;
+    /// Like choose_host, for a task that requires a label. May be empty: there
+    /// is none.
+    std::function<std::optional<int>(int home_cell,
+                                     const records::Resources& need,
+                                     const std::string& label, int excluded)>
+        choose_host_with_label;
     /// Returns why no listed VM can serve a job; empty: accept it.
     std::function<std::optional<jobs::AdmissionRefusal>(
         const std::string& service, const jobs::JobSpec& spec)>
@@ -201,6 +210,10 @@
   void RestoreMovedJob(const KeyedRecord& record);
   net::asio::awaitable<void> RunJournalWriter();
   net::asio::awaitable<bool> AppendToJournal(std::vector<KeyedRecord> records);
+  /// Removes the records that the store does not take, and what the batch would
+  /// make durable by them. Else no record of the cell could be written any
+  /// more.
+  void LeaveOutLongRecords(jobs::JournalBatch& batch) const;
   net::asio::awaitable<bool> WriteBatch(const jobs::JournalBatch& batch);
   net::asio::awaitable<void> RunRenewals(std::string id, Millis delay);
   net::asio::awaitable<bool> RenewOnce(const jobs::VmListing& listing);
@@ -224,6 +237,14 @@
   /// delegations.
   void SyncDelegations();
   void DelegateShortTasks();
+  using HostChoice = std::function<std::optional<int>(
+      int home_cell, const records::Resources& need, int excluded)>;
+  /// Returns the host for a task, as chosen by `choose_without_label` or, if
+  /// it requires a label, by Callbacks::choose_host_with_label.
+  std::optional<int> ChooseHost(const HostChoice& choose_without_label,
+                                const jobs::TaskRef& ref,
+                                const records::Resources& need,
+                                int avoided) const;
   /// Call when delegations may have become due.
   void SendDueDelegations();
   net::asio::awaitable<void> SendDelegation(std::shared_ptr<CellOwner> self,
--- a/src/libs/jobs/cell_summary.h
+++ b/src/libs/jobs/cell_summary.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "jobs/label_room.h"
 #include "jobs/task_copy.h"
 #include "records/resources.h"
 
@@ -46,6 +47,8 @@
   /// The same without what tasks that end use: capacity that long-running tasks
   /// may take. VMs that are reserved for one are left out.
   std::vector<records::Resources> long_running_rooms;
+  /// Of those VMs, by label in ascending order; at most kMaxPublishedLabels.
+  std::vector<LabelRoom> label_rooms;
 };
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/delegation.h
+++ b/src/libs/jobs/delegation.h
@@ -57,10 +57,13 @@
   /// How long the host had served no delegation of the home cell when this one
   /// was sent.
   std::int64_t unserved_ms = 0;
+  /// Occurrences that the home cell has retired.
+  std::vector<OccurrenceRange> retired;
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
-    archive(self.job, self.record, self.tasks, self.wait_ms, self.unserved_ms);
+    archive(self.job, self.record, self.tasks, self.wait_ms, self.unserved_ms,
+            self.retired);
   }
 };
 
--- a/src/libs/jobs/scheduler_status.cc
+++ b/src/libs/jobs/scheduler_status.cc
@@ -78,6 +78,16 @@
   rooms.resize(kept);
 }
 
+static void AddLabelRooms(const VmListing& listing,
+                          const records::Resources& free,
+                          std::map<std::string, records::Resources>& rooms) {
+  for (const std::string& label : {listing.kind, listing.rack}) {
+    if (label.empty()) continue;
+    records::Resources& room = rooms[label];
+    if (free.cpu_millis > room.cpu_millis) room = free;
+  }
+}
+
 CellSummary Scheduler::Summary(Millis now) const {
   CellSummary summary;
   summary.preempted_runs = preemption_policy_.StopCount();
@@ -101,6 +111,7 @@
     if (summary.waiting_tasks == before) continue;
     summary.oldest_wait = std::max(summary.oldest_wait, now - job->accepted_at);
   }
+  std::map<std::string, records::Resources> label_rooms;
   for (const auto& [id, vm] : vms_) {
     if (!vm->listed) continue;
     if (!vm->reachable) ++summary.unreachable_vms;
@@ -115,8 +126,10 @@
                          !vm->lease_bound_recorded && !vm->lease_expired &&
                          now >= vm->quarantined_until &&
                          !vm->ReservationOfOther({}, now);
-    if (is_open && free.cpu_millis > 0 && free.memory_mib > 0)
+    if (is_open && free.cpu_millis > 0 && free.memory_mib > 0) {
       summary.rooms.push_back(free);
+      AddLabelRooms(vm->listing, free, label_rooms);
+    }
     if (is_open)
       summary.long_running_rooms.push_back(vm->CapacityBesideLongRunning());
     summary.free_cpu_millis += free.cpu_millis;
@@ -124,6 +137,10 @@
   }
   KeepLargest(summary.rooms);
   KeepLargest(summary.long_running_rooms);
+  for (const auto& [label, room] : label_rooms) {
+    if (summary.label_rooms.size() == kMaxPublishedLabels) break;
+    summary.label_rooms.push_back({label, room});
+  }
   return summary;
 }
 
