--- a/src/libs/cell/cell_member_following.cc
+++ b/src/libs/cell/cell_member_following.cc
@@ -57,7 +57,6 @@
       IsOk(answer) && ValueOf(answer).incarnation != owner.incarnation;
   if (refused || replaced) OnOwnerTerminated(owner.incarnation);
   if (!IsOk(answer) || !ValueOf(answer).owns) {
-    if (!IsOk(answer)) follow_policy_.OnProbeUnanswered(clock_.Monotonic());
     OnOwnerDoubted();
     co_return;
   }
@@ -83,7 +82,6 @@
   const auto& owner = election_.Owner();
   const std::string incarnation = owner ? owner->incarnation : "";
   if (incarnation != incarnation_before) {
-    follow_policy_.OnOwnerChanged();
     outlook_.OnOwnerChanged(clock_.Monotonic());
   } else if (owner) {
     outlook_.OnOwnerRenewed();
--- a/src/libs/cell/follow_policy.cc
+++ b/src/libs/cell/follow_policy.cc
@@ -9,9 +9,6 @@
 static constexpr Millis kDoubtDuration(5'000);
 static constexpr Millis kCandidacyDuration(4'000);
 static constexpr Millis kDoubtedProbeInterval(200);
-/// The longest interval in doubt is 0.8 s after a time-out, so that an owner
-/// that is reached again is noticed soon.
-static constexpr int kMaxProbeDoublings = 2;
 static constexpr Millis kCandidateProbeInterval(1'000);
 /// An entry that owns no cell probes one of the owners at this interval.
 static constexpr Millis kIdleProbeInterval(1'000);
@@ -24,18 +21,9 @@
 
 void FollowPolicy::OnOwnerAnswered(bool candidate, Millis now) {
   doubted_until_ = Millis(0);
-  unanswered_probes_ = 0;
   candidate_until_ = candidate ? now + kCandidacyDuration : Millis(0);
 }
 
-void FollowPolicy::OnProbeUnanswered(Millis now) {
-  ++unanswered_probes_;
-  probed_at_ = now;
-  const auto range =
-      static_cast<std::uint64_t>(DoubtedProbeInterval().count / 2);
-  probe_jitter_ = Millis(static_cast<std::int64_t>(random_.Below(range)));
-}
-
 void FollowPolicy::OnOwnerDoubted(Millis now) {
   doubted_until_ = now + kDoubtDuration;
 }
@@ -45,16 +33,8 @@
   return now < doubted_until_ || now < candidate_until_;
 }
 
-Millis FollowPolicy::DoubtedProbeInterval() const {
-  return kDoubtedProbeInterval *
-         (1LL << std::min(unanswered_probes_, kMaxProbeDoublings));
-}
-
 Millis FollowPolicy::ProbeInterval(bool owns_cells, Millis now) const {
-  if (now < doubted_until_) {
-    if (unanswered_probes_ == 0) return kDoubtedProbeInterval;
-    return DoubtedProbeInterval() + probe_jitter_;
-  }
+  if (now < doubted_until_) return kDoubtedProbeInterval;
   const Millis rotation =
       (owns_cells ? kOwnerProbeInterval : kIdleProbeInterval) * cells_;
   if (now < candidate_until_) return kCandidateProbeInterval;
--- a/src/libs/cell/follow_policy.h
+++ b/src/libs/cell/follow_policy.h
@@ -29,12 +29,6 @@
   /// The owner has answered a probe, and has made this entry a candidate or
   /// not.
   void OnOwnerAnswered(bool candidate, Millis now);
-  /// The owner has not answered a probe in time. Each further one in a row
-  /// doubles the interval of probes, so that entries in doubt don't add to the
-  /// load of an owner that is slow.
-  void OnProbeUnanswered(Millis now);
-  /// Another entry owns the cell, or none does.
-  void OnOwnerChanged() { unanswered_probes_ = 0; }
   /// The known owner did not answer, or it is not certain to own the cell.
   void OnOwnerDoubted(Millis now);
 
@@ -49,7 +43,6 @@
 
  private:
   Millis ProbeInterval(bool owns_cells, Millis now) const;
-  Millis DoubtedProbeInterval() const;
 
   int cells_;
   Random random_;
@@ -57,8 +50,6 @@
   Millis candidate_until_;
   Millis probed_at_;
   bool probed_ = false;
-  int unanswered_probes_ = 0;  ///< In a row.
-  Millis probe_jitter_;        ///< Added to the interval while in doubt.
 };
 
 }  // namespace basilspur::cell
