--- a/src/libs/jobs/occurrence_set.cc
+++ b/src/libs/jobs/occurrence_set.cc
@@ -4,7 +4,7 @@
 
 namespace basilspur::jobs {
 
-OccurrenceSet::OccurrenceSet(std::vector<OccurrenceRange> ranges) {
+OccurrenceSet::OccurrenceSet(std::span<const OccurrenceRange> ranges) {
   for (const OccurrenceRange& range : ranges) Add(range);
 }
 
--- a/src/libs/jobs/occurrence_set.h
+++ b/src/libs/jobs/occurrence_set.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPUR_JOBS_OCCURRENCE_SET_H_
 #define BASILSPUR_JOBS_OCCURRENCE_SET_H_
 
+#include <span>
 #include <vector>
 
 namespace basilspur::jobs {
@@ -23,7 +24,7 @@
  public:
   OccurrenceSet() = default;
   /// `ranges` may be in any order and overlap.
-  explicit OccurrenceSet(std::vector<OccurrenceRange> ranges);
+  explicit OccurrenceSet(std::span<const OccurrenceRange> ranges);
 
   void Add(OccurrenceRange range);
   bool Contains(int occurrence) const;
