--- a/review/build.sh
+++ b/review/build.sh
@@ -10,7 +10,7 @@
   tests/fakes/free_address.cc
   src/libs/net/address.cc src/libs/net/asio.cc src/libs/net/http_client.cc
   src/libs/net/http_server.cc src/libs/net/http_shutdown.cc
-  src/libs/net/spawn.cc src/libs/net/call_limiter.cc src/libs/net/request_arrival.cc
+  src/libs/net/spawn.cc
   src/libs/base/clock.cc src/libs/base/error.cc src/libs/base/hashing.cc
   src/libs/base/log_rate_limiter.cc src/libs/base/logging.cc
   src/libs/base/random.cc
--- a/src/libs/net/call_limiter.h
+++ b/src/libs/net/call_limiter.h
@@ -34,6 +34,24 @@
   std::map<std::string, Peer> peers_;  ///< Silent ones, and those with calls.
 };
 
+inline bool CallLimiter::TryBegin(const std::string& address) {
+  if (max_calls_ == 0) return true;
+  Peer& peer = peers_[address];
+  if (peer.silent && peer.calls >= max_calls_) return false;
+  ++peer.calls;
+  return true;
+}
+
+inline void CallLimiter::End(const std::string& address, Outcome outcome) {
+  if (max_calls_ == 0) return;
+  const auto found = peers_.find(address);
+  Peer& peer = found->second;
+  --peer.calls;
+  if (outcome == Outcome::kAnswered) peer.silent = false;
+  if (outcome == Outcome::kTimedOut) peer.silent = true;
+  if (peer.calls == 0 && !peer.silent) peers_.erase(found);
+}
+
 }  // namespace basilspur::net
 
 #endif  // BASILSPUR_NET_CALL_LIMITER_H_
