Count a hosted job's age from its acceptance at home

Cause: AddGuestJob set no accepted_at, so that the age counted from 0 of the clock; in the record it replaced the time of acceptance by the time of hosting, from which a successor of the host counted.

Change: the record keeps the home cell's time, and Job::SetAcceptedAt derives the age from it, for restored and for hosted jobs.

--- a/src/libs/cell/cell_owner_delegations.cc
+++ b/src/libs/cell/cell_owner_delegations.cc
@@ -144,7 +144,7 @@
     if (!ready_ || draining_ || stopped_) co_return DelegationReply();
     DelegationReply reply;
     reply.served = true;
-    reply.report = scheduler_.Host(delegation, clock_.Wall().count);
+    reply.report = scheduler_.Host(delegation, clock_.Wall().count, Now());
     NotifyJournalWriter();
     if (reply.report.HasNews() || Now() >= deadline) {
       SchedulePlan();
--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -116,6 +116,11 @@
   return removed > 0;
 }
 
+void Job::SetAcceptedAt(std::int64_t wall_ms, Millis now) {
+  const std::int64_t age = wall_ms - record.accepted_wall_ms;
+  accepted_at = now - Millis(std::max(age, std::int64_t{0}));
+}
+
 Task& Job::At(const TaskRef& task) { return *Find(task); }
 
 bool Job::DependenciesDone(const Occurrence& occurrence, int step) const {
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -181,6 +181,9 @@
   /// or no task waits.
   Millis idle_since;
 
+  /// Derives `accepted_at` from the record, whose time of day may be of
+  /// another machine. A time in the future counts as now.
+  void SetAcceptedAt(std::int64_t wall_ms, Millis now);
   /// Precondition: the task is part of a present occurrence.
   Task& At(const TaskRef& task);
   /// Returns null if the task is not part of a present occurrence.
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -68,8 +68,7 @@
   job.accepted = true;
   job.inherited = true;
   job.durable_status = record.status;
-  const std::int64_t age = wall_ms - record.accepted_wall_ms;
-  job.accepted_at = now - Millis(std::max(age, std::int64_t{0}));
+  job.SetAcceptedAt(wall_ms, now);
   if (progress) job.ApplyProgress(*progress);
   if (!IsFinal(record.status)) {
     Activate(job);
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -210,7 +210,8 @@
                           const DelegationReport& report, Millis now);
   /// Serves another cell's delegation. The report has no rows if it can't be
   /// served.
-  DelegationReport Host(const Delegation& delegation, std::int64_t wall_ms);
+  DelegationReport Host(const Delegation& delegation, std::int64_t wall_ms,
+                        Millis now);
   /// Returns ended jobs with tasks at one of the host cells, at most
   /// `max_count`, in the order of their ids from `after` on and around.
   std::vector<std::string> EndedJobsAt(const std::set<int>& hosts,
@@ -391,7 +392,8 @@
   void ReturnWaitingGuests(Millis now);
   /// Plans pass over jobs of which nothing is hosted.
   void UpdateGuestActivity(Job& job);
-  Job& AddGuestJob(const Delegation& delegation, std::int64_t wall_ms);
+  Job& AddGuestJob(const Delegation& delegation, std::int64_t wall_ms,
+                   Millis now);
   void ApplyDelegation(Job& job, Task& task, const DelegatedTask& wanted);
   void ReportHosting(const Job& job, const TaskRef& ref, const Task& task,
                      DelegatedTaskReport& row) const;
--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -214,7 +214,7 @@
 }
 
 DelegationReport Scheduler::Host(const Delegation& delegation,
-                                 std::int64_t wall_ms) {
+                                 std::int64_t wall_ms, Millis now) {
   DelegationReport report;
   report.states_results = true;
   Job* job = FindJob(delegation.job);
@@ -222,7 +222,7 @@
   const bool wants_runs =
       std::any_of(delegation.tasks.begin(), delegation.tasks.end(),
                   [](const DelegatedTask& task) { return !task.settled; });
-  if (!job && wants_runs) job = &AddGuestJob(delegation, wall_ms);
+  if (!job && wants_runs) job = &AddGuestJob(delegation, wall_ms, now);
   if (job) RetireOccurrencesOfGuest(*job, delegation.retired);
   for (const DelegatedTask& wanted : delegation.tasks) {
     const TaskRef ref = wanted.RefIn(delegation.job);
@@ -252,14 +252,14 @@
   return report;
 }
 
-Job& Scheduler::AddGuestJob(const Delegation& delegation,
-                            std::int64_t wall_ms) {
+Job& Scheduler::AddGuestJob(const Delegation& delegation, std::int64_t wall_ms,
+                            Millis now) {
   auto job = std::make_unique<Job>();
   job->id = delegation.job;
   job->record = delegation.record;
   job->record.status = JobStatus::kActive;
-  job->record.accepted_wall_ms = wall_ms;
   job->record.ended_wall_ms = 0;
+  job->SetAcceptedAt(wall_ms, now);
   job->record_dirty = true;
   job->started = true;
   dirty_jobs_.insert(job->id);
--- a/tests/auto/jobs/catalog_in_force_test.cc
+++ b/tests/auto/jobs/catalog_in_force_test.cc
@@ -87,7 +87,8 @@
 TEST_CASE("hosted jobs keep the service of an earlier config") {
   MovingQueue cell;
   cell.scheduler.ApplyCatalog(cell.MakeCatalog(2, "others"));
-  cell.scheduler.Host(MakeDelegation(cell, "workers", 1), cell.wall_ms);
+  cell.scheduler.Host(MakeDelegation(cell, "workers", 1), cell.wall_ms,
+                      cell.now);
   cell.Flush();
   CHECK(cell.StartsOf(cell.scheduler) == std::vector<std::string>{kNewVm});
 }
@@ -104,7 +105,8 @@
     CHECK(cell.StartsOf(*next) == std::vector<std::string>{kNewVm});
   }
   SECTION("hosted") {
-    cell.scheduler.Host(MakeDelegation(cell, "others", 2), cell.wall_ms);
+    cell.scheduler.Host(MakeDelegation(cell, "others", 2), cell.wall_ms,
+                        cell.now);
     cell.Flush();
     CHECK(cell.StartsOf(cell.scheduler) == std::vector<std::string>{kNewVm});
   }
--- a/tests/auto/jobs/closed_data_centers_test.cc
+++ b/tests/auto/jobs/closed_data_centers_test.cc
@@ -228,7 +228,7 @@
   delegation.tasks.emplace_back().number = 1;
   for (int i = 0; i < 10; ++i) {
     const DelegationReport report =
-        host.scheduler.Host(delegation, host.wall_ms);
+        host.scheduler.Host(delegation, host.wall_ms, host.now);
     REQUIRE(report.tasks.size() == 1);
     const DelegationState state = report.tasks[0].state;
     const bool has_no_run = state == DelegationState::kWaiting ||
@@ -239,12 +239,13 @@
     CHECK(!HasStart(host.PlanLater()));
   }
   // The host will have no VM for it, so that the home cell can look elsewhere.
-  DelegationReport report = host.scheduler.Host(delegation, host.wall_ms);
+  DelegationReport report =
+      host.scheduler.Host(delegation, host.wall_ms, host.now);
   CHECK(report.tasks[0].state == DelegationState::kReturned);
   host.AddVmIn(kOpen, "other");
   CHECK(!HasStart(host.PlanLater()));
   ++delegation.tasks[0].number;
-  host.scheduler.Host(delegation, host.wall_ms);
+  host.scheduler.Host(delegation, host.wall_ms, host.now);
   host.Flush();
   const auto starts = OfKind(host.PlanLater(), RunCommandKind::kStart);
   REQUIRE(starts.size() == 1);
--- a/tests/auto/jobs/delegations_test.cc
+++ b/tests/auto/jobs/delegations_test.cc
@@ -145,12 +145,26 @@
   CHECK(sent[0].second.tasks[0].recalled);
 }
 
+// Its age counted from 0, so that it ranked behind all jobs of its host.
+TEST_CASE("a hosted job is as old as in its home cell") {
+  HomeFixture home;
+  Delegation delegation = DelegateThird(home);
+  SchedulerFixture host;
+  const Millis age(1'500);
+  delegation.record.accepted_wall_ms = host.wall_ms - age.count;
+  host.scheduler.Host(delegation, host.wall_ms, host.now);
+  CHECK(host.scheduler.AgeOf(kJob, host.now) == age);
+  host.Flush();
+  const std::unique_ptr<Scheduler> next = host.TakeOver(1'000);
+  CHECK(next->AgeOf(kJob, host.now) == age);
+}
+
 TEST_CASE("a host runs the delegated task and no other one of the job") {
   HomeFixture home;
   const Delegation delegation = DelegateThird(home);
   SchedulerFixture host;
   host.AddVm("h");
-  host.scheduler.Host(delegation, host.wall_ms);
+  host.scheduler.Host(delegation, host.wall_ms, host.now);
   CHECK(CountStarts(host.Plan()) == 0);
   host.Flush();
   const std::vector<RunCommand> commands = host.Plan();
@@ -164,42 +178,43 @@
   const Delegation delegation = DelegateThird(home);
   SchedulerFixture host;
   host.AddVm("h");
-  host.scheduler.Host(delegation, host.wall_ms);
+  host.scheduler.Host(delegation, host.wall_ms, host.now);
   host.Flush();
   const std::vector<RunCommand> commands = host.PlanAndConfirm();
   REQUIRE(CountStarts(commands) == 1);
   host.Flush();
   Delegation recall = delegation;
   recall.tasks[0].recalled = true;
-  CHECK(host.scheduler.Host(recall, host.wall_ms).tasks[0].state ==
+  CHECK(host.scheduler.Host(recall, host.wall_ms, host.now).tasks[0].state ==
         DelegationState::kReturning);
   host.Flush();
   host.now = host.now + Millis(200);
   const std::vector<RunCommand> stops = host.PlanAndConfirm();
   REQUIRE(stops.size() == 1);
   CHECK(stops[0].kind == RunCommandKind::kStop);
-  CHECK(host.scheduler.Host(recall, host.wall_ms).tasks[0].state ==
+  CHECK(host.scheduler.Host(recall, host.wall_ms, host.now).tasks[0].state ==
         DelegationState::kReturning);
   host.Report("h", {},
               {SchedulerFixture::MakeEnd(1, kThird, commands[0].run,
                                          RunEnd::kStopped)});
   host.Flush();
-  const DelegationReport report = host.scheduler.Host(recall, host.wall_ms);
+  const DelegationReport report =
+      host.scheduler.Host(recall, host.wall_ms, host.now);
   CHECK(report.tasks[0].state == DelegationState::kReturned);
   CHECK(report.tasks[0].last_run >= commands[0].run);
   // A copy of the delegation that was late.
-  host.scheduler.Host(delegation, host.wall_ms);
+  host.scheduler.Host(delegation, host.wall_ms, host.now);
   host.Flush();
   CHECK(CountStarts(host.Plan()) == 0);
   // Its successor remembers.
   auto next = host.TakeOver(10'001);
   next->MarkJournalComplete();
-  next->Host(delegation, host.wall_ms);
+  next->Host(delegation, host.wall_ms, host.now);
   CHECK(CountStarts(next->Plan(host.wall_ms, host.now)) == 0);
   // A later delegation counts.
   Delegation again = delegation;
   ++again.tasks[0].number;
-  host.scheduler.Host(again, host.wall_ms);
+  host.scheduler.Host(again, host.wall_ms, host.now);
   host.Flush();
   CHECK(CountStarts(host.Plan()) == 1);
 }
@@ -209,7 +224,7 @@
   const Delegation delegation = DelegateThird(home);
   SchedulerFixture host;
   host.AddVm("h");
-  host.scheduler.Host(delegation, host.wall_ms);
+  host.scheduler.Host(delegation, host.wall_ms, host.now);
   host.Flush();
   const std::vector<RunCommand> commands = host.PlanAndConfirm();
   REQUIRE(CountStarts(commands) == 1);
@@ -223,7 +238,7 @@
   report.running = {row};
   next->OnReport("h", report, host.now, host.now + Millis(10));
   CHECK(CountStarts(next->Plan(host.wall_ms, host.now + Millis(20))) == 0);
-  CHECK(next->Host(delegation, host.wall_ms).tasks[0].state ==
+  CHECK(next->Host(delegation, host.wall_ms, host.now).tasks[0].state ==
         DelegationState::kRunning);
 }
 
@@ -236,7 +251,7 @@
   int starts = 0;
   DelegationReport report;
   for (int round = 1; round <= 10; ++round) {
-    report = host.scheduler.Host(delegation, host.wall_ms);
+    report = host.scheduler.Host(delegation, host.wall_ms, host.now);
     host.Flush();
     for (const RunCommand& command : host.PlanAndConfirm()) {
       if (command.kind != RunCommandKind::kStart) continue;
--- a/tests/auto/jobs/long_running_places_test.cc
+++ b/tests/auto/jobs/long_running_places_test.cc
@@ -115,7 +115,7 @@
   DelegatedTask& task = delegation.tasks.emplace_back();
   task.number = 1;
   cell.wall_ms += kTurn.count;
-  cell.scheduler.Host(delegation, cell.wall_ms);
+  cell.scheduler.Host(delegation, cell.wall_ms, cell.now);
   cell.Flush();
   cell.RunTurn();
   CHECK(cell.CountRunning(kJob) == 1);
@@ -147,10 +147,11 @@
   delegation.record.service = cell.queue.service;
   delegation.record.home_cell = 1;
   delegation.tasks.emplace_back().number = 1;
-  cell.scheduler.Host(delegation, cell.wall_ms);
+  cell.scheduler.Host(delegation, cell.wall_ms, cell.now);
   cell.Flush();
   for (int i = 0; i < 3; ++i) cell.RunTurn();
-  const DelegationReport report = cell.scheduler.Host(delegation, cell.wall_ms);
+  const DelegationReport report =
+      cell.scheduler.Host(delegation, cell.wall_ms, cell.now);
   REQUIRE(report.tasks.size() == 1);
   CHECK(report.tasks[0].state == DelegationState::kReturned);
 }
--- a/tests/auto/jobs/recalls_test.cc
+++ b/tests/auto/jobs/recalls_test.cc
@@ -63,7 +63,7 @@
   std::vector<Delegation> delegations;
   for (auto& [cell, delegation] : home.scheduler.DelegationsToSend(home.now)) {
     delegation.record.home_cell = kHome;
-    host.scheduler.Host(delegation, host.wall_ms);
+    host.scheduler.Host(delegation, host.wall_ms, host.now);
     delegations.push_back(delegation);
   }
   REQUIRE(delegations.size() == 3);
@@ -83,6 +83,7 @@
     CHECK(command.task.job != "c");
   }
   // A copy of the delegation that was late.
-  CHECK(host.scheduler.Host(delegations[0], host.wall_ms).tasks[0].state ==
-        DelegationState::kReturning);
+  CHECK(host.scheduler.Host(delegations[0], host.wall_ms, host.now)
+            .tasks[0]
+            .state == DelegationState::kReturning);
 }
--- a/tests/auto/jobs/short_delegations_test.cc
+++ b/tests/auto/jobs/short_delegations_test.cc
@@ -70,7 +70,7 @@
   }
 
   DelegationReport Host(const Delegation& delegation) {
-    return scheduler.Host(delegation, wall_ms);
+    return scheduler.Host(delegation, wall_ms, now);
   }
 
   std::vector<RunCommand> HostAndStart(const Delegation& delegation) {
@@ -155,7 +155,7 @@
   CHECK(host.Host(delegation).tasks[0].done);
   auto next = host.TakeOver(10'001);
   next->MarkJournalComplete();
-  CHECK(next->Host(delegation, host.wall_ms).tasks[0].done);
+  CHECK(next->Host(delegation, host.wall_ms, host.now).tasks[0].done);
   CHECK(CountStarts(next->Plan(host.wall_ms, host.now)) == 0);
   // Nothing is said before the home cell's journal holds the result.
   CHECK(home.scheduler.DelegationsToSend(home.now).empty());
@@ -197,7 +197,7 @@
   CHECK(CountStarts(host.Plan()) == 0);
   auto next = host.TakeOver(10'001);
   next->MarkJournalComplete();
-  next->Host(delegation, host.wall_ms);
+  next->Host(delegation, host.wall_ms, host.now);
   CHECK(CountStarts(next->Plan(host.wall_ms, host.now)) == 0);
 }
 
