Stop a run again that goes on after its stop was confirmed

Cause: once a VM had confirmed a stop, the owner did not send it again, whatever the VM's reports said. A run that they went on listing, such as one whose start was carried out after the stop, was never stopped while the VM was in touch, and its lease was renewed. The same for a run of an earlier owner that the first report lacks and a later one lists.

Change: a report that was asked for after the run should have stopped, and lists it, takes the confirmation back, so that the stop is repeated like an unanswered one.

--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -315,6 +315,9 @@
   /// The same for a run that belongs to no task.
   bool UpdateAbsentOrphan(RunOnVm& run, Millis sent) const;
   void ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent);
+  /// When a run whose stop the VM has confirmed, or that is missing from its
+  /// reports, has ended at the latest.
+  Millis StoppedBy(const Run& run) const;
   void ReleaseRun(Vm& vm, const TaskRef& ref, int number);
   /// Returns false if the report is from a former worker of the VM. If it is
   /// from a new one, ends what the former one executed.
--- a/src/libs/jobs/scheduler_releases.cc
+++ b/src/libs/jobs/scheduler_releases.cc
@@ -14,12 +14,14 @@
   });
 }
 
+Millis Scheduler::StoppedBy(const Run& run) const {
+  return run.confirmed_at + settings_.max_stop_duration + settings_.stop_margin;
+}
+
 bool Scheduler::UpdateAbsentRun(Run& run, Millis sent) const {
   // A run that is being stopped is reported neither as running nor as ended
   // until it has stopped.
-  const Millis stopped_by =
-      run.confirmed_at + settings_.max_stop_duration + settings_.stop_margin;
-  if (run.stop_confirmed) return sent > stopped_by;
+  if (run.stop_confirmed) return sent > StoppedBy(run);
   if (run.phase == RunPhase::kInDoubt && run.last_command_at == Millis(0)) {
     // A run of an earlier owner: it has ended or is being stopped.
     run.phase = RunPhase::kStopping;
@@ -30,8 +32,7 @@
   if (run.phase != RunPhase::kRunning || run.confirmed_at >= sent) return false;
   if (!run.absent) run.confirmed_at = sent;
   run.absent = true;
-  return sent >
-         run.confirmed_at + settings_.max_stop_duration + settings_.stop_margin;
+  return sent > StoppedBy(run);
 }
 
 bool Scheduler::UpdateAbsentOrphan(RunOnVm& run, Millis sent) const {
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -117,6 +117,9 @@
     run->confirmed_at = now;
     run->progressed_at = now;
   }
+  // The stop was confirmed before the run began, or had no effect.
+  if (run->stop_confirmed && sent > StoppedBy(*run))
+    run->stop_confirmed = false;
   if (run->running_since == Millis(0)) run->running_since = now;
   if (task->IsSuspect() && crash_policy_.IsCleared(sent - run->running_since)) {
     task->crashes = 0;
