--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -13,7 +13,8 @@
       tails_(settings.tails),
       placer_(tails_, closures_, run_times_),
       delegation_policy_(settings_),
-      backfill_(placer_, run_times_, settings.max_planned_starts) {}
+      backfill_(placer_, run_times_, settings.max_planned_starts),
+      delegations_sent_(settings_) {}
 
 Scheduler::~Scheduler() = default;
 
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -32,6 +32,7 @@
 #include "jobs/run_times.h"
 #include "jobs/scheduler_settings.h"
 #include "jobs/tail_controller.h"
+#include "jobs/sent_delegations.h"
 #include "jobs/task_copy.h"
 #include "jobs/unplaceable_tasks.h"
 #include "jobs/unreachable_vm.h"
@@ -273,15 +274,6 @@
     Millis age;  ///< Of the run.
   };
 
-  /// When a job's delegations were last sent to a host, and what they said.
-  struct SentDelegations {
-    Millis at;
-    std::size_t tasks = 0;
-    std::size_t recalls = 0;
-    std::size_t settlements = 0;
-    bool answered = false;
-  };
-
   Job* FindJob(const std::string& id);
   /// Returns null if the job or the task is not known.
   Task* FindTask(const TaskRef& ref);
@@ -365,9 +357,6 @@
   /// The job's delegations that are in the journal, by host cell, without its
   /// record.
   std::map<int, Delegation> DelegationsOf(Job& job) const;
-  /// Whether the delegations are to be sent now. Updates `sent` if so.
-  bool IsDue(const Delegation& delegation, SentDelegations& sent,
-             Millis now) const;
   /// How long a long-running task waits here before it is delegated.
   Millis DelegationDelayOf(const TaskRef& ref, const Task& task,
                            Millis now) const;
@@ -573,8 +562,7 @@
   std::set<std::string> dirty_jobs_;
   bool urgent_changes_ = false;
   std::set<std::string> delegating_jobs_;  ///< Jobs with delegated tasks.
-  /// By job and host cell.
-  std::map<std::pair<std::string, int>, SentDelegations> delegations_sent_;
+  SentDelegations delegations_sent_;
   DelegationCounts delegation_counts_;
   /// Results of hosts by the journal batch that holds them.
   std::vector<std::pair<std::int64_t, TaskRef>> undurable_results_;
--- a/src/libs/jobs/scheduler_delegated_results.cc
+++ b/src/libs/jobs/scheduler_delegated_results.cc
@@ -59,33 +59,6 @@
   }
 }
 
-bool Scheduler::IsDue(const Delegation& delegation, SentDelegations& sent,
-                      Millis now) const {
-  const auto count = [&](auto matches) {
-    return static_cast<std::size_t>(std::count_if(
-        delegation.tasks.begin(), delegation.tasks.end(), matches));
-  };
-  const std::size_t tasks = delegation.tasks.size();
-  const std::size_t recalls =
-      count([](const DelegatedTask& task) { return task.recalled; });
-  const std::size_t settlements =
-      count([](const DelegatedTask& task) { return task.settled; });
-  const bool first = sent.at == Millis(0);
-  const bool changed = tasks != sent.tasks || recalls != sent.recalls ||
-                       settlements != sent.settlements;
-  Millis interval = recalls > 0 || tasks != sent.tasks
-                        ? settings_.recall_interval
-                        : settings_.delegation_interval;
-  // Hosts answer as soon as there is news of a task that ends.
-  if (delegation.wait_ms > 0) {
-    if (sent.answered) interval = settings_.min_delegation_interval;
-    if (changed) interval = Millis(0);
-  }
-  if (!first && now - sent.at < interval) return false;
-  sent = {now, tasks, recalls, settlements, /*answered=*/false};
-  return true;
-}
-
 void Scheduler::ApplyResultOfHost(Job& job, const TaskRef& ref,
                                   const DelegatedTaskReport& report) {
   if (job.record.spec.steps[ref.step].long_running) return;
--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -124,16 +124,15 @@
   for (auto it = delegating_jobs_.begin(); it != delegating_jobs_.end();) {
     Job* job = FindJob(*it);
     if (!job || !job->HasDelegatedTasks()) {
-      std::erase_if(delegations_sent_,
-                    [&](const auto& item) { return item.first.first == *it; });
+      delegations_sent_.Forget(*it);
       it = delegating_jobs_.erase(it);
       continue;
     }
-    const std::string& id = *it++;
+    ++it;
     for (auto& [cell, delegation] : DelegationsOf(*job)) {
       if (HasTasksThatEnd(*job, delegation) || AwaitsStart(*job, delegation))
         delegation.wait_ms = settings_.max_delegation_hold.count;
-      if (!IsDue(delegation, delegations_sent_[{id, cell}], now)) continue;
+      if (!delegations_sent_.IsDue(delegation, cell, now)) continue;
       delegation.record = job->record;
       delegation.retired = job->retired.Ranges();
       due.emplace_back(cell, std::move(delegation));
@@ -146,8 +145,7 @@
                                    const DelegationReport& report, Millis now) {
   Job* job = FindJob(id);
   if (!job || job->IsGuest()) return;
-  const auto sent = delegations_sent_.find({id, host_cell});
-  if (sent != delegations_sent_.end()) sent->second.answered = true;
+  delegations_sent_.OnAnswered(id, host_cell);
   for (const DelegatedTaskReport& row : report.tasks) {
     Task* task = job->Find(row.RefIn(id));
     if (task && row.state == DelegationState::kSettled)
