--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -264,6 +264,8 @@
   void LogJobEnds(const jobs::JournalBatch& batch);
   JobReply StatusOf(const std::string& job) const;
   Millis RenewalWait(const std::string& vm) const;
+  /// The home cell has recalled tasks, whose runs are to be stopped.
+  void LogRecall(const jobs::Delegation& delegation, int recalls) const;
   void SchedulePlan();
   void NotifyJournalWriter();
   void RunPlan();
@@ -271,6 +273,9 @@
   /// new enough for starts. Logs a change.
   bool CheckMayStart();
   void HandleFenced();
+  /// Logs a command that was not confirmed, and each stop.
+  void LogCommand(const jobs::RunCommand& command,
+                  jobs::RunCommandOutcome outcome, Millis took) const;
   /// Returns whether a call may be sent to a VM now. Stops the owner if its
   /// ownership has expired.
   bool CheckMayAct();
--- a/src/libs/cell/cell_owner_delegations.cc
+++ b/src/libs/cell/cell_owner_delegations.cc
@@ -4,6 +4,7 @@
 
 #include "base/logging.h"
 #include "cell/cell_owner.h"
+#include "cell/run_fields.h"
 #include "net/spawn.h"
 
 namespace basilspur::cell {
@@ -152,6 +153,15 @@
     }
     co_await batch_durable_.Wait();
   }
+void CellOwner::LogRecall(const jobs::Delegation& delegation,
+                          int recalls) const {
+  kLog.Info("event=tasks_recalled_by_home job=" + delegation.job + LogFields() +
+            " home=" + std::to_string(delegation.record.home_cell) +
+            " tasks=" + std::to_string(recalls) +
+            RunFields(scheduler_.RunsOf(delegation.job)));
+}
+
 }
 
 }  // namespace basilspur::cell
+    if (reply.report.recalls > 0) LogRecall(delegation, reply.report.recalls);
--- a/src/libs/cell/cell_owner_journal.cc
+++ b/src/libs/cell/cell_owner_journal.cc
@@ -3,6 +3,7 @@
 
 #include "base/logging.h"
 #include "cell/cell_owner.h"
+#include "cell/run_fields.h"
 #include "jobs/progress_parts.h"
 
 namespace basilspur::cell {
@@ -108,7 +109,8 @@
     queue_outlook_.OnJobEnded(Now());
     kLog.Info("event=job_ended job=" + id + " state=" + NameOf(job.status) +
               LogFields() + " sequence=" + std::to_string(sequence_) +
-              " age_ms=" + std::to_string(scheduler_.AgeOf(id, Now()).count));
+              " age_ms=" + std::to_string(scheduler_.AgeOf(id, Now()).count) +
+              RunFields(scheduler_.RunsOf(id)));
   }
 }
 
--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -47,13 +47,32 @@
   }
   scheduler_.OnCommandOutcome(command, answer.outcome, answer.clock_ms, sent,
                               Now());
-  if (answer.outcome != jobs::RunCommandOutcome::kDone) {
-    kLog.Info(
-        "event=run_command_not_confirmed task=" + command.task.ToString() +
-        " run=" + std::to_string(command.run) + " vm=" + command.vm +
-        " outcome=" + std::to_string(static_cast<int>(answer.outcome)));
-    SchedulePlan();
+  LogCommand(command, answer.outcome, Now() - sent);
+  if (answer.outcome != jobs::RunCommandOutcome::kDone) SchedulePlan();
+}
+
+static const char* NameOf(jobs::RunCommandKind kind) {
+  switch (kind) {
+    case jobs::RunCommandKind::kStart:
+      return "start";
+    case jobs::RunCommandKind::kStop:
+      return "stop";
+    case jobs::RunCommandKind::kPace:
+      return "pace";
   }
+  return "";
+}
+
+void CellOwner::LogCommand(const jobs::RunCommand& command,
+                           jobs::RunCommandOutcome outcome, Millis took) const {
+  const bool confirmed = outcome == jobs::RunCommandOutcome::kDone;
+  if (confirmed && command.kind != jobs::RunCommandKind::kStop) return;
+  kLog.Info(std::string("event=run_command_") +
+            (confirmed ? "confirmed" : "not_confirmed") + " command=" +
+            NameOf(command.kind) + " task=" + command.task.ToString() +
+            " run=" + std::to_string(command.run) + " vm=" + command.vm +
+            " outcome=" + std::to_string(static_cast<int>(outcome)) +
+            " took_ms=" + std::to_string(took.count));
 }
 
 static const char* NameOf(jobs::RunEnd end) {
--- a/src/libs/jobs/delegation.h
+++ b/src/libs/jobs/delegation.h
@@ -109,6 +109,8 @@
   /// The rows state results. Entries of earlier versions report a task that is
   /// done as one that was not.
   bool states_results = false;
+  /// Hosted tasks that were recalled while this report was made. Not sent.
+  int recalls = 0;
 
   /// Whether the home cell has to act on the report.
   bool HasNews() const {
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -22,6 +22,7 @@
 #include "jobs/job.h"
 #include "jobs/job_tier_policy.h"
 #include "jobs/journal_batch.h"
+#include "jobs/known_run.h"
 #include "jobs/late_job_order.h"
 #include "jobs/long_running_wait.h"
 #include "jobs/moved_jobs.h"
@@ -131,6 +132,9 @@
   /// Time since the job was accepted. For a job that an earlier owner accepted,
   /// it is derived from the time of day.
   Millis AgeOf(const std::string& id, Millis now) const;
+  /// Returns the runs of the job that may be executing, and its delegated
+  /// tasks. Empty if there is no such job.
+  std::vector<KnownRun> RunsOf(const std::string& id) const;
   /// Number of accepted jobs of `queue` without a started task.
   int PendingJobs(std::string_view queue) const;
 
@@ -386,7 +390,8 @@
   void UpdateGuestActivity(Job& job);
   Job& AddGuestJob(const Delegation& delegation, std::int64_t wall_ms,
                    Millis now);
-  void ApplyDelegation(Job& job, Task& task, const DelegatedTask& wanted);
+  /// Returns whether this recalls the task.
+  bool ApplyDelegation(Job& job, Task& task, const DelegatedTask& wanted);
   void ReportHosting(const Job& job, const TaskRef& ref, const Task& task,
                      DelegatedTaskReport& row) const;
 
--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -236,7 +236,7 @@
     row.state = DelegationState::kRefused;
     Task* task = job->FindOrAdd(ref);
     if (!task) continue;
-    ApplyDelegation(*job, *task, wanted);
+    if (ApplyDelegation(*job, *task, wanted)) ++report.recalls;
     ReportHosting(*job, ref, *task, row);
   }
   if (!job) return report;
@@ -265,16 +265,14 @@
   return AddJob(std::move(job));
 }
 
-void Scheduler::ApplyDelegation(Job& job, Task& task,
+bool Scheduler::ApplyDelegation(Job& job, Task& task,
                                 const DelegatedTask& wanted) {
   const HostingState hosting =
       wanted.recalled ? HostingState::kReturned : HostingState::kHosted;
-  if (wanted.number < task.delegation) return;
-  if (wanted.number == task.delegation) {
-    const bool is_recall = hosting == HostingState::kReturned &&
-                           task.hosting == HostingState::kHosted;
-    if (!is_recall) return;
-  }
+  const bool is_recall = hosting == HostingState::kReturned &&
+                         task.hosting == HostingState::kHosted;
+  if (wanted.number < task.delegation) return false;
+  if (wanted.number == task.delegation && !is_recall) return false;
   if (wanted.number > task.delegation) {
     task.crashes = wanted.crashes;
     task.failures = wanted.failures;
@@ -287,6 +285,7 @@
   task.last_run = std::max(task.last_run, wanted.run_base);
   MarkPlacementChanged(job, task);
 }
+  return is_recall;
 
 void Scheduler::ReportHosting(const Job& job, const TaskRef& ref,
                               const Task& task,
--- a/src/libs/jobs/scheduler_status.cc
+++ b/src/libs/jobs/scheduler_status.cc
@@ -42,6 +42,18 @@
   return found == jobs_.end() ? Millis(0) : now - found->second->accepted_at;
 }
 
+std::vector<KnownRun> Scheduler::RunsOf(const std::string& id) const {
+  std::vector<KnownRun> runs;
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return runs;
+  found->second->ForEachTask([&](const TaskRef& ref, const Task& task) {
+    if (task.host_cell >= 0) runs.push_back({ref, 0, "", task.host_cell});
+    for (const Run& run : task.runs)
+      runs.push_back({ref, run.number, run.vm, -1});
+  });
+  return runs;
+}
+
 int Scheduler::PendingJobs(std::string_view queue) const {
   int pending = 0;
   for (const auto& [key, job] : active_jobs_) {
