Delegate a gang that its cell can no longer hold

Cause: gangs never left their cell; only at submission a cell that can hold them was chosen.

What a VM could hold is counted by one function for both uses, and the choices of cells that a node and the simulation made alike are wired in one place.

Not covered: gangs of tasks that last.

--- a/src/libs/cell/cell_balancer.cc
+++ b/src/libs/cell/cell_balancer.cc
@@ -166,6 +166,26 @@
   return best;
 }
 
+std::optional<int> CellBalancer::ChooseHostOfGang(int home_cell,
+                                                  const jobs::StepSpec& step,
+                                                  const std::set<int>& eligible,
+                                                  int excluded) {
+  if (eligible.contains(home_cell)) return std::nullopt;
+  std::optional<int> best;
+  for (const int cell : eligible) {
+    const CellLoad& load = loads_[cell];
+    if (cell == excluded || load.closed || load.capacity_cpu_millis <= 0)
+      continue;
+    const bool is_better =
+        !best || LoadRatio(load, step.best_effort) <
+                     LoadRatio(loads_[*best], step.best_effort);
+    if (is_better) best = cell;
+  }
+  if (best)
+    loads_[*best].waiting_cpu_millis += step.need.cpu_millis * step.count;
+  return best;
+}
+
 bool CellBalancer::HasRoomElsewhere(int home_cell) const {
   for (int cell = 0; cell < static_cast<int>(loads_.size()); ++cell) {
     if (cell != home_cell && !loads_[cell].rooms.empty()) return true;
--- a/src/libs/cell/cell_balancer.h
+++ b/src/libs/cell/cell_balancer.h
@@ -49,6 +49,11 @@
                                          const records::Resources& need,
                                          const std::string& label,
                                          int excluded);
+  /// Returns the least loaded cell of `eligible`, whose VMs can hold the gang
+  /// of `step`. Empty if `home_cell` is one of these, or only `excluded`.
+  std::optional<int> ChooseHostOfGang(int home_cell, const jobs::StepSpec& step,
+                                      const std::set<int>& eligible,
+                                      int excluded);
   /// Whether a cell other than `home_cell` publishes room for tasks that end.
   bool HasRoomElsewhere(int home_cell) const;
   /// Returns the cell that should host a task that ends: of those with room on
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -62,6 +62,9 @@
   std::size_t max_record_bytes = 1 << 18;
   /// Loads of other cells are up to a second old, so room may be taken.
   int max_delegations_per_tick = 16;
+  /// Interval at which hosts are looked for among all VMs for gangs that this
+  /// cell can't hold.
+  Millis gang_check_interval{500};
   /// Interval at which one job that moved to another cell is looked up there.
   Millis moved_job_check_interval{1'000};
 };
@@ -111,6 +114,12 @@
                                      const records::Resources& need,
                                      const std::string& label, int excluded)>
         choose_host_with_label;
+    /// Chooses the cell that hosts a gang of `service`, all of whose tasks
+    /// `step` specifies; empty: it stays, since this cell can hold it or no
+    /// other can. May be empty: it always stays.
+    std::function<std::optional<int>(int home_cell, const std::string& service,
+                                     const jobs::StepSpec& step, int excluded)>
+        choose_host_of_gang;
     /// Returns why no listed VM can serve a job; empty: accept it.
     std::function<std::optional<jobs::AdmissionRefusal>(
         const std::string& service, const jobs::JobSpec& spec)>
@@ -237,6 +246,7 @@
   /// delegations.
   void SyncDelegations();
   void DelegateShortTasks();
+  void DelegateGangs();
   using HostChoice = std::function<std::optional<int>(
       int home_cell, const records::Resources& need, int excluded)>;
   /// Returns the host for a task, as chosen by `choose_without_label` or, if
@@ -254,6 +264,8 @@
   net::asio::awaitable<void> ReadRecalls(std::shared_ptr<CellOwner> self,
                                          std::vector<int> homes);
   void ApplyRecalls(int home, const KeyedRecord& record);
+  /// The home cell has recalled tasks, whose runs are to be stopped.
+  void LogRecall(const jobs::Delegation& delegation, int recalls) const;
   /// No delegation to the host cell was served.
   void LogSilentHost(int host, const std::string& job, bool recalls);
   net::asio::awaitable<JobReply> Cancel(const JobRequest& request);
@@ -261,11 +273,12 @@
   void LogWorkerStart(const std::string& vm,
                       const jobs::VmReport& report) const;
   void LogRunEnds(const std::string& vm, const jobs::VmReport& report) const;
+  /// Logs a command that was not confirmed, and each stop.
+  void LogCommand(const jobs::RunCommand& command,
+                  jobs::RunCommandOutcome outcome, Millis took) const;
   void LogJobEnds(const jobs::JournalBatch& batch);
   JobReply StatusOf(const std::string& job) const;
   Millis RenewalWait(const std::string& vm) const;
-  /// The home cell has recalled tasks, whose runs are to be stopped.
-  void LogRecall(const jobs::Delegation& delegation, int recalls) const;
   void SchedulePlan();
   void NotifyJournalWriter();
   void RunPlan();
@@ -273,9 +286,6 @@
   /// new enough for starts. Logs a change.
   bool CheckMayStart();
   void HandleFenced();
-  /// Logs a command that was not confirmed, and each stop.
-  void LogCommand(const jobs::RunCommand& command,
-                  jobs::RunCommandOutcome outcome, Millis took) const;
   /// Returns whether a call may be sent to a VM now. Stops the owner if its
   /// ownership has expired.
   bool CheckMayAct();
@@ -313,6 +323,7 @@
   Millis last_plan_;
   net::Timer plan_timer_;
   Millis last_moved_job_check_;
+  Millis last_gang_check_;
   HostContacts host_contacts_;
   HomeContacts home_contacts_;
   std::string last_listed_recall_;  ///< Last job of the newest recall record.
--- a/src/libs/cell/cell_owner_delegations.cc
+++ b/src/libs/cell/cell_owner_delegations.cc
@@ -42,6 +42,7 @@
         " to=" + std::to_string(*host));
   }
   DelegateShortTasks();
+  DelegateGangs();
   SendDueDelegations();
   NotifyJournalWriter();
 }
@@ -75,6 +76,25 @@
   }
 }
 
+void CellOwner::DelegateGangs() {
+  const bool due = Now() - last_gang_check_ >= settings_.gang_check_interval;
+  if (!due || !callbacks_.choose_host_of_gang) return;
+  last_gang_check_ = Now();
+  for (const jobs::TaskRef& ref : scheduler_.GangsToDelegate(Now())) {
+    const std::optional<int> host = callbacks_.choose_host_of_gang(
+        ownership_.cell, scheduler_.ServiceOf(ref.job), scheduler_.SpecOf(ref),
+        scheduler_.CellToAvoid(ref, Now()));
+    if (!host) continue;
+    scheduler_.DelegateGang(ref, *host);
+    kLog.Info(
+        "event=gang_delegated reason=\"the VMs of this cell can't hold it; "
+        "those of another cell can\" job=" +
+        ref.job + " first_task=" + ref.ToString() + LogFields() +
+        " to=" + std::to_string(*host) +
+        " tasks=" + std::to_string(scheduler_.SpecOf(ref).count));
+  }
+}
+
 void CellOwner::SendDueDelegations() {
   if (!ready_ || draining_ || stopped_) return;
   auto due = scheduler_.DelegationsToSend(Now());
@@ -133,6 +153,14 @@
       " job=" + job + " recalls=" + std::to_string(recalls ? 1 : 0));
 }
 
+void CellOwner::LogRecall(const jobs::Delegation& delegation,
+                          int recalls) const {
+  kLog.Info("event=tasks_recalled_by_home job=" + delegation.job + LogFields() +
+            " home=" + std::to_string(delegation.record.home_cell) +
+            " tasks=" + std::to_string(recalls) +
+            RunFields(scheduler_.RunsOf(delegation.job)));
+}
+
 net::asio::awaitable<DelegationReply> CellOwner::HandleDelegation(
     jobs::Delegation delegation) {
   const auto self = shared_from_this();
@@ -146,6 +174,7 @@
     DelegationReply reply;
     reply.served = true;
     reply.report = scheduler_.Host(delegation, clock_.Wall().count, Now());
+    if (reply.report.recalls > 0) LogRecall(delegation, reply.report.recalls);
     NotifyJournalWriter();
     if (reply.report.HasNews() || Now() >= deadline) {
       SchedulePlan();
@@ -153,15 +182,6 @@
     }
     co_await batch_durable_.Wait();
   }
-void CellOwner::LogRecall(const jobs::Delegation& delegation,
-                          int recalls) const {
-  kLog.Info("event=tasks_recalled_by_home job=" + delegation.job + LogFields() +
-            " home=" + std::to_string(delegation.record.home_cell) +
-            " tasks=" + std::to_string(recalls) +
-            RunFields(scheduler_.RunsOf(delegation.job)));
-}
-
 }
 
 }  // namespace basilspur::cell
-    if (reply.report.recalls > 0) LogRecall(delegation, reply.report.recalls);
--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -5,7 +5,6 @@
 
 #include "base/hashing.h"
 #include "base/logging.h"
-#include "cell/eligible_cells.h"
 #include "cell/leaving.h"
 #include "net/spawn.h"
 
@@ -142,61 +141,6 @@
   return callbacks;
 }
 
-std::shared_ptr<CellOwner> Node::MakeOwner(CellOwner::Ownership ownership,
-                                           CellOwner::Standing standing) {
-  StartDirectory();
-  CellOwner::Callbacks callbacks;
-  callbacks.choose_cell = [this](int home_cell, const std::string& job,
-                                 const std::string& service,
-                                 const jobs::JobSpec& spec) {
-    const Fleet fleet{vms_, closures_, [this](const jobs::VmListing& vm) {
-                        return layout_.CellOfRack(vm.rack);
-                      }};
-    return balancer_->ChooseCell(home_cell, job, spec,
-                                 EligibleCells(fleet, service, spec));
-  };
-  callbacks.forward_request = [this](JobRequest request) {
-    return forwarder_.Forward(std::move(request));
-  };
-  callbacks.check_admission = [this](const std::string& service,
-                                     const jobs::JobSpec& spec) {
-    return admission_.Check(service, spec, vms_, clock_.Monotonic());
-  };
-  callbacks.choose_host = [this](int home_cell, const records::Resources& need,
-                                 int excluded) {
-    return balancer_->ChooseHost(home_cell, need, excluded);
-  };
-  callbacks.choose_host_with_label =
-      [this](int home_cell, const records::Resources& need,
-             const std::string& label, int excluded) {
-        return balancer_->ChooseHostWithLabel(home_cell, need, label, excluded);
-      };
-  callbacks.has_room_elsewhere = [this](int home_cell) {
-    return balancer_->HasRoomElsewhere(home_cell);
-  };
-  callbacks.choose_host_of_short_task =
-      [this](int home_cell, const records::Resources& need, int excluded) {
-        return balancer_->ChooseHostOfShortTask(home_cell, need, excluded);
-      };
-  callbacks.send_delegation = [this](DelegationRequest request) {
-    return SendDelegation(std::move(request));
-  };
-  callbacks.may_start = settings_.may_start;
-  callbacks.knowledge_age = settings_.knowledge_age;
-  auto owner = std::make_shared<CellOwner>(
-      context_, store_, vm_client_, clock_, settings_.owner, ownership,
-      std::move(callbacks), std::move(standing));
-  owner->OnCatalog(catalog_);
-  owner->OnClosures(closures_);
-  InitializeTails(*owner, ownership.cell);
-  for (const auto& [id, listing] : vms_) {
-    if (layout_.CellOfRack(listing.rack) == ownership.cell) {
-      owner->OnVmListed(listing);
-    }
-  }
-  return owner;
-}
-
 void Node::InitializeTails(CellOwner& owner, int owned) {
   for (const auto& [cell, record] : tail_records_) {
     if (cell == owned) {
--- a/src/libs/cell/node.h
+++ b/src/libs/cell/node.h
@@ -23,6 +23,8 @@
 
 namespace basilspur::cell {
 
+struct Fleet;
+
 struct NodeSettings {
   CellMember::Identity identity;
   ElectionSettings election;
@@ -150,6 +152,9 @@
   int OwnedCells() const;
   /// Yields one cell if ticks show that the processor is overloaded.
   void CheckLag(Millis took);
+  /// The VMs as far as this entry has read their list.
+  Fleet MakeFleet() const;
+  CellOwner::Callbacks MakeOwnerCallbacks();
   std::shared_ptr<CellOwner> MakeOwner(CellOwner::Ownership ownership,
                                        CellOwner::Standing standing);
 
--- a/src/libs/jobs/delegation_policy.cc
+++ b/src/libs/jobs/delegation_policy.cc
@@ -39,8 +39,14 @@
 }
 
 Millis DelegationPolicy::MaxWaitAtHost(const StepSpec& spec) const {
+  if (spec.gang) return settings_.max_gang_wait_at_host;
   return spec.best_effort ? settings_.max_wait_at_host
                           : settings_.max_short_wait_at_host;
 }
 
+Millis DelegationPolicy::MaxWaitBeforeRecall(const StepSpec& spec) const {
+  return spec.gang ? settings_.max_gang_wait_at_host
+                   : settings_.max_wait_at_host;
+}
+
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/delegation_policy.h
+++ b/src/libs/jobs/delegation_policy.h
@@ -71,6 +71,10 @@
   /// returns it; a long-running one only if it will have no place there.
   Millis MaxWaitAtHost(const StepSpec& spec) const;
 
+  /// Returns how long a task waits for a place at its host before its home cell
+  /// recalls it.
+  Millis MaxWaitBeforeRecall(const StepSpec& spec) const;
+
  private:
   const SchedulerSettings& settings_;
 };
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -32,8 +32,8 @@
 #include "jobs/run_command.h"
 #include "jobs/run_times.h"
 #include "jobs/scheduler_settings.h"
-#include "jobs/tail_controller.h"
 #include "jobs/sent_delegations.h"
+#include "jobs/tail_controller.h"
 #include "jobs/task_copy.h"
 #include "jobs/unplaceable_tasks.h"
 #include "jobs/unreachable_vm.h"
@@ -196,14 +196,24 @@
   /// The same for tasks that end. Call after the last plan of a tick, and only
   /// while another cell has room.
   std::vector<TaskRef> ShortTasksToDelegate(Millis now);
+  /// Returns the first tasks of gangs that have waited so long for a place that
+  /// another cell should host them, if this one can never hold them.
+  std::vector<TaskRef> GangsToDelegate(Millis now);
   /// Returns the cell that should not host the task now, since it has returned
   /// it a short while ago; -1: none. Precondition: the task is known.
   int CellToAvoid(const TaskRef& ref, Millis now) const;
   /// Precondition: the task is known.
   const StepSpec& SpecOf(const TaskRef& ref) const;
+  /// The service that runs the job. Precondition: the job is known.
+  const std::string& ServiceOf(const std::string& job) const {
+    return jobs_.at(job)->record.service;
+  }
   /// Delegates a task, once the journal says so. Precondition: the task is one
   /// of TasksToDelegate or ShortTasksToDelegate.
   void Delegate(const TaskRef& ref, int host_cell);
+  /// Delegates all tasks of a gang. Precondition: the task is one of
+  /// GangsToDelegate.
+  void DelegateGang(const TaskRef& ref, int host_cell);
   /// Of tasks that end, since this owner has begun.
   const DelegationCounts& CountsOfDelegations() const {
     return delegation_counts_;
@@ -305,15 +315,15 @@
                          Millis now);
   void ProcessEndedRun(Vm& vm, const EndedRunReport& row, bool lease_expired,
                        Millis now);
+  /// When a run whose stop the VM has confirmed, or that is missing from its
+  /// reports, has ended at the latest.
+  Millis StoppedBy(const Run& run) const;
   /// Updates a run that is missing from the report to a renewal that was sent
   /// at `sent`. Returns true if the run has certainly ended.
   bool UpdateAbsentRun(Run& run, Millis sent) const;
   /// The same for a run that belongs to no task.
   bool UpdateAbsentOrphan(RunOnVm& run, Millis sent) const;
   void ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent);
-  /// When a run whose stop the VM has confirmed, or that is missing from its
-  /// reports, has ended at the latest.
-  Millis StoppedBy(const Run& run) const;
   void ReleaseRun(Vm& vm, const TaskRef& ref, int number);
   /// Returns false if the report is from a former worker of the VM. If it is
   /// from a new one, ends what the former one executed.
@@ -381,6 +391,16 @@
   void OnSettled(Job& job, Task& task, int host_cell, int number);
   /// This cell, which hosts the task, will not run it again.
   void ReturnTask(Job& job, Task& task);
+  /// The same for all tasks of its gang, if it is part of one.
+  void ReturnTaskOrGang(Job& job, const TaskRef& ref);
+  /// Failed runs of the task, or of all tasks of its gang.
+  static int FailuresOf(Job& job, const TaskRef& ref);
+  /// Whether the VMs of this cell can run the step if nothing else runs there.
+  bool CanHold(const StepSpec& spec, const std::string& service) const;
+  /// Whether the step is a gang that has waited so long for a place that
+  /// another cell may host it.
+  bool GangWaits(const Job& job, Occurrence& occurrence, int step,
+                 Millis now) const;
   /// The home cell's journal holds the result. Returns the state to report.
   DelegationState Settle(Job* job, const DelegatedTask& wanted);
   /// Returns hosted tasks that end and have waited too long for a place, and
--- a/src/libs/jobs/scheduler_delegated_results.cc
+++ b/src/libs/jobs/scheduler_delegated_results.cc
@@ -69,7 +69,7 @@
   if (!report.checkpoint.empty()) task.checkpoint = report.checkpoint;
   if (IsFinal(job.record.status) || task.done) return;
   if (!report.done) {
-    if (task.failures >= job.record.attempts)
+    if (FailuresOf(job, ref) >= job.record.attempts)
       EndJob(job, JobStatus::kFailed, wall_ms_);
     return;
   }
--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -189,7 +189,8 @@
       task.runs_at_host = false;
       if (task.waiting_at_host_since == Millis(0))
         task.waiting_at_host_since = now;
-      if (now - task.waiting_at_host_since >= settings_.max_wait_at_host)
+      if (now - task.waiting_at_host_since >=
+          delegation_policy_.MaxWaitBeforeRecall(SpecOf(ref)))
         task.recalled = true;
       return;
     case DelegationState::kRefused:
@@ -257,8 +258,8 @@
   job->record = delegation.record;
   job->record.status = JobStatus::kActive;
   job->record.ended_wall_ms = 0;
-  job->SetAcceptedAt(wall_ms, now);
   job->record_dirty = true;
+  job->SetAcceptedAt(wall_ms, now);
   job->started = true;
   dirty_jobs_.insert(job->id);
   urgent_changes_ = true;
@@ -284,8 +285,8 @@
   task.run_base = std::max(task.run_base, wanted.run_base);
   task.last_run = std::max(task.last_run, wanted.run_base);
   MarkPlacementChanged(job, task);
-}
   return is_recall;
+}
 
 void Scheduler::ReportHosting(const Job& job, const TaskRef& ref,
                               const Task& task,
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -183,45 +183,6 @@
   return true;
 }
 
-void Scheduler::PlanGang(Job& job, Occurrence& occurrence, int step, Millis now,
-                         std::vector<RunCommand>& commands) {
-  std::vector<Task>& tasks = occurrence.steps[step].tasks;
-  const StepSpec& spec = job.record.spec.steps[step];
-  int number = 0;
-  for (const Task& task : tasks) {
-    if (!NeedsRun(task, now)) return;
-    number = std::max(number, NextRunNumber(job, task));
-  }
-  occurrence.steps[step].ShareNewestCheckpoint();
-  std::set<std::string> racks{""};
-  if (spec.rack_local) {
-    for (const auto& [id, vm] : vms_) racks.insert(vm->listing.rack);
-  }
-  for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack) {
-    std::vector<Vm*> vms = AllVms();
-    if (!rack->empty()) {
-      std::erase_if(vms, [&](Vm* vm) { return vm->listing.rack != *rack; });
-    }
-    std::vector<RunCommand> placed;
-    for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
-      const TaskRef ref{job.id, occurrence.number, step, index};
-      const Placement place = placer_.SelectPlacement(
-          vms, spec, job.record.service, ref, tasks[index], tasks, now);
-      if (!place.vm) break;
-      StartTask(job, ref, place, number, now, placed);
-    }
-    if (placed.size() == tasks.size()) {
-      commands.insert(commands.end(), placed.begin(), placed.end());
-      return;
-    }
-    for (const RunCommand& command : placed) {
-      ReleaseRun(*FindVm(command.vm), command.task, command.run);
-      job.At(command.task).last_run = number - 1;
-    }
-  }
-  PlanLaterStart(job, {job.id, occurrence.number, step, 0}, AllVms(), now);
-}
-
 RunCommand Scheduler::MakeStart(const Job& job, const TaskRef& ref,
                                 const Run& run) {
   RunCommand command;
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -175,7 +175,7 @@
   Occurrence& occurrence = *job.FindOccurrence(ref.occurrence);
   Step& step = occurrence.steps[ref.step];
   // The job of a hosted task ends in its home cell.
-  if (job.IsGuest()) ReturnTask(job, step.tasks[ref.index]);
+  if (job.IsGuest()) ReturnTaskOrGang(job, ref);
   if (job.record.spec.steps[ref.step].gang) {
     for (Task& task : step.tasks) task.done = true;
     step.done = static_cast<int>(step.tasks.size());
@@ -201,17 +201,9 @@
   RecordVmFailure(vm, now);
   const StepSpec& spec = job.record.spec.steps[ref.step];
   if (spec.long_running) return;
-  int failures = task.failures;
-  if (spec.gang) {
-    failures = 0;
-    Occurrence& occurrence = *job.FindOccurrence(ref.occurrence);
-    for (const Task& member : occurrence.steps[ref.step].tasks) {
-      failures += member.failures;
-    }
-  }
-  if (failures < job.record.attempts) return;
+  if (FailuresOf(job, ref) < job.record.attempts) return;
   if (job.IsGuest()) {
-    ReturnTask(job, task);
+    ReturnTaskOrGang(job, ref);
   } else {
     EndJob(job, JobStatus::kFailed, wall_ms_);
   }
--- a/tests/sim/labelled_jobs_scenarios_test.cc
+++ b/tests/sim/labelled_jobs_scenarios_test.cc
@@ -126,3 +126,33 @@
   CHECK(StartsOf(cell, job) == 1);
   CHECK(cell.Checker().Violations().empty());
 }
+
+/// Gangs never left their cell, and one that had been accepted stayed in a cell
+/// that had lost VMs since.
+TEST_CASE("a gang whose cell loses VMs runs in a cell that can hold it") {
+  SimulatedCell cell(kSeed, kNodes, kCells);
+  StartCells(cell);
+  const std::string lost = cell.StartVm("e", kFullSpeed, 1);
+  cell.ListVm(lost, kNoDelay);
+  cell.RunFor(Millis(2'500));
+  // Fills the only cell that can hold the gang.
+  jobs::JobSpec filler = MakeJob("1", "60000");
+  filler.steps[0].count = 4;
+  cell.Submit("filler", filler);
+  cell.RunFor(Millis(1'000));
+  const std::string job = MakeJobId();
+  jobs::JobSpec spec = MakeJob("", "500");
+  spec.steps[0].count = 4;
+  spec.steps[0].gang = true;
+  cell.Submit(job, spec);
+  cell.RunFor(Millis(1'000));
+  REQUIRE(cell.Checker().Accepted().contains(job));
+  REQUIRE(StartsOf(cell, job) == 0);
+  cell.TerminateVm(lost);
+  cell.UnlistVm(lost, kNoDelay);
+  cell.ListVm(cell.StartVm("f", kFullSpeed, 2), kNoDelay);
+  cell.RunFor(kMaxGap);
+  INFO(Report(cell));
+  CHECK(StartsOf(cell, job) == 1);
+  CHECK(cell.Checker().Violations().empty());
+}
--- a/tests/sim/simulated_node.cc
+++ b/tests/sim/simulated_node.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/hashing.h"
+#include "cell/cell_choices.h"
 #include "cell/eligible_cells.h"
 #include "cell/leaving.h"
 
@@ -114,32 +115,12 @@
     cell::CellOwner::Ownership ownership, cell::CellOwner::Standing standing) {
   StartDirectory();
   cell::CellOwner::Callbacks callbacks;
-  callbacks.choose_cell = [this](int home_cell, const std::string& job,
-                                 const std::string& service,
-                                 const jobs::JobSpec& spec) {
-    const cell::Fleet fleet{vms_, closures_, CellOfVm};
-    return balancer_.ChooseCell(home_cell, job, spec,
-                                cell::EligibleCells(fleet, service, spec));
-  };
+  cell::AddCellChoices(callbacks, balancer_, [this] {
+    return cell::Fleet{vms_, closures_, CellOfVm};
+  });
   callbacks.forward_request = [this](cell::JobRequest request) {
     return Handle(std::move(request));
   };
-  callbacks.choose_host = [this](int home_cell, const records::Resources& need,
-                                 int excluded) {
-    return balancer_.ChooseHost(home_cell, need, excluded);
-  };
-  callbacks.choose_host_with_label =
-      [this](int home_cell, const records::Resources& need,
-             const std::string& label, int excluded) {
-        return balancer_.ChooseHostWithLabel(home_cell, need, label, excluded);
-      };
-  callbacks.has_room_elsewhere = [this](int home_cell) {
-    return balancer_.HasRoomElsewhere(home_cell);
-  };
-  callbacks.choose_host_of_short_task =
-      [this](int home_cell, const records::Resources& need, int excluded) {
-        return balancer_.ChooseHostOfShortTask(home_cell, need, excluded);
-      };
   callbacks.send_delegation = [this](cell::DelegationRequest request) {
     return DelegateTo(std::move(request));
   };
