--- a/src/libs/jobs/scheduler_long_running.cc
+++ b/src/libs/jobs/scheduler_long_running.cc
@@ -95,7 +95,9 @@
     job->ForEachTask([&, job = job](const TaskRef& ref, const Task& task) {
       const Millis since = task.without_run_since;
       if (since == Millis(0) || now - since < min_age) return;
-      waits.push_back({ref, now - since});
+      LongRunningWait& wait = waits.emplace_back();
+      wait.task = ref;
+      wait.age = now - since;
     });
   }
   const std::size_t kept = std::min(waits.size(), max_count);
