--- a/tests/sim/slow_owner_test.cc
+++ b/tests/sim/slow_owner_test.cc
@@ -8,6 +8,8 @@
 using namespace basilspur::sim;  // NOLINT(google-build-using-namespace)
 
 static constexpr int kNodes = 8;
+/// As on the users' grown sites.
+static constexpr int kManyNodes = 36;
 static constexpr int kVms = 6;
 static constexpr Millis kNoDelay(0);
 /// Longer than the time limit of a probe.
@@ -52,9 +54,11 @@
 
 TEST_CASE("an owner whose requests wait for too long gives its cell up") {
   // Its ticks and renewals are on time, so no other entry takes the cell.
-  ForEachSeed(50, [](std::uint64_t seed) {
-    CAPTURE(seed);
-    SimulatedCell cell(seed, kNodes);
+  const auto [nodes, seeds] =
+      GENERATE(table<int, std::uint64_t>({{kNodes, 50}, {kManyNodes, 10}}));
+  ForEachSeed(seeds, [nodes = nodes](std::uint64_t seed) {
+    CAPTURE(seed, nodes);
+    SimulatedCell cell(seed, nodes);
     StartCell(cell);
     cell.Spawn(SendReads(cell));
     cell.RunFor(Millis(1'000));
