--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -398,7 +398,7 @@
   /// Whether the VMs of this cell can run the step if nothing else runs there.
   bool CanHold(const StepSpec& spec, const std::string& service) const;
   /// Whether the step is a gang that has waited so long for a place that
-  /// another cell may host it.
+  /// another cell may host it. Notes since when it waits.
   bool GangWaits(const Job& job, Occurrence& occurrence, int step,
                  Millis now) const;
   /// The home cell's journal holds the result. Returns the state to report.
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -90,8 +90,8 @@
   /// How long a delegated task waits for a place at its host before it is
   /// recalled.
   Millis max_wait_at_host{1'500};
-  /// The same for a gang, which needs several places at once. Its host was
-  /// chosen because its VMs can hold the gang, and the home cell's can't.
+  /// The same for a gang, which needs several places at once. The VMs of its
+  /// host can hold it, and those of its home cell can't.
   Millis max_gang_wait_at_host{10'000};
   /// How long a cell is not asked again to host a task that it has returned.
   Millis host_cooldown{3'000};
--- a/tests/auto/jobs/gang_delegations_test.cc
+++ b/tests/auto/jobs/gang_delegations_test.cc
@@ -9,7 +9,6 @@
 static constexpr int kHost = 2;
 static constexpr char kJob[] = "report";
 static const TaskRef kFirst{kJob, 0, 0, 0};
-static const TaskRef kSecond{kJob, 0, 0, 1};
 
 /// A home cell with one VM, and a gang of two tasks that each need a whole one.
 struct GangHome : SchedulerFixture {
--- a/tests/sim/cell_simulation_test.cc
+++ b/tests/sim/cell_simulation_test.cc
@@ -217,8 +217,8 @@
   CheckSeeds(setup);
 }
 
-// UNASKED: a run that no owner knew of any more, after faults before the
-// cancel, went on for 19 s.
+// UNASKED: after faults, a run that no owner knows of would outlast the cancel
+// of its job.
 TEST_CASE("runs that faults have hidden end when their jobs are cancelled") {
   Setup setup;
   setup.cells = 2;
