Log each conclusion about a run: confirmed, done, void, unknown, released

A confirmed start, an end as done, an end that is voided or unknown and a run that is released were not logged, so that the hypotheses of the postmortem could not be told apart.

Restored jobs get a line each.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -144,6 +144,7 @@
     return self->owner_token_ == token && self->election_.Token() == token &&
            !self->election_.IsExpired(self->clock_.Monotonic());
   };
+  standing.confirmed_at = [self] { return self->election_.LastConfirmed(); };
   standing.on_ended = [self, token = owner_token_] {
     if (self->owner_token_ != token) return;
     self->election_.StepDown();
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -38,6 +38,7 @@
       plan_timer_(context) {}
 
 void CellOwner::Stop() {
+  if (!stopped_) LogRunEvents();
   stopped_ = true;
   ready_ = false;
   batch_pending_.NotifyAll();
@@ -108,6 +109,7 @@
   kLog.Info("event=owner_ready" + LogFields() +
             " took_ms=" + std::to_string((Now() - started).count) +
             " jobs=" + std::to_string(scheduler_.ActiveJobs()));
+  LogRestoredJobs();
   SchedulePlan();
 }
 
@@ -164,6 +166,7 @@
     net::Spawn(context_, CheckMovedJob(shared_from_this()), "moved_job_check");
   }
   LogLongRunningWaits();
+  LogRunEvents();
   if (!ready_ || Now() - last_summary_log_ < settings_.summary_log_interval)
     return;
   last_summary_log_ = Now();
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -144,6 +144,8 @@
     /// commands and renewals to VMs: successors count on its leases being over
     /// by a time.
     std::function<bool()> may_act;
+    /// When no other node had claimed the cell yet.
+    std::function<Millis()> confirmed_at;
     /// Called when the owner has stopped itself, because `may_act` returned
     /// false, or the store or a VM has rejected its fencing token as outdated.
     std::function<void()> on_ended;
@@ -229,6 +231,9 @@
   /// A renewal of the VM's lease was not answered.
   void HandleOutage(const std::string& vm, jobs::VmOutage outage);
   void LogVmLosses();
+  /// Logs what was concluded about runs since the last call.
+  void LogRunEvents();
+  void LogRestoredJobs() const;
   void LogCopies();
   void LogPreemptions();
   net::asio::awaitable<void> WaitForDurableEnds(std::string id);
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -88,6 +88,9 @@
   /// Returns whether this node owns the cell but has not renewed for too long.
   bool IsExpired(Millis now) const;
 
+  /// No other node had claimed the cell by then. Precondition: Owns().
+  Millis LastConfirmed() const { return last_confirmed_; }
+
   std::int64_t Token() const { return token_; }
   std::int64_t Term() const { return term_; }
   std::int64_t End() const { return end_; }
--- /dev/null
+++ b/src/libs/jobs/restored_job.h
@@ -0,0 +1,24 @@
+#ifndef BASILSPUR_JOBS_RESTORED_JOB_H_
+#define BASILSPUR_JOBS_RESTORED_JOB_H_
+
+#include <string>
+
+#include "base/clock.h"
+
+namespace basilspur::jobs {
+
+/// What the journal told a new owner of a job that had not ended.
+///
+/// Thread safety: a plain value.
+struct RestoredJob {
+  std::string id;
+  int home_cell = -1;  ///< See JobRecord::home_cell.
+  int done_tasks = 0;
+  int runs = 0;  ///< That may be executing.
+  int delegated_tasks = 0;
+  Millis age;  ///< Since its acceptance.
+};
+
+}  // namespace basilspur::jobs
+
+#endif  // BASILSPUR_JOBS_RESTORED_JOB_H_
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -29,7 +29,9 @@
 #include "jobs/placer.h"
 #include "jobs/preemption.h"
 #include "jobs/preemption_policy.h"
+#include "jobs/restored_job.h"
 #include "jobs/run_command.h"
+#include "jobs/run_events.h"
 #include "jobs/run_times.h"
 #include "jobs/scheduler_settings.h"
 #include "jobs/sent_delegations.h"
@@ -93,6 +95,8 @@
                std::int64_t wall_ms, Millis now);
   /// Restores a VM from the journal, whether it is listed or not.
   void RestoreVm(const std::string& vm, const VmRecord& record, Millis now);
+  /// Returns the restored jobs that had not ended. Call before the first plan.
+  std::vector<RestoredJob> RestoredJobs(Millis now) const;
   /// Completes the restoring. New runs of restored jobs are numbered from
   /// `first_run_number`.
   void FinishRestore(int first_run_number, Millis now);
@@ -264,6 +268,8 @@
   /// Model of tail latencies and of the images that raise them.
   TailController& Tails() { return tails_; }
   const TailController& Tails() const { return tails_; }
+  /// What was concluded about runs, for the log.
+  RunEvents& Events() { return run_events_; }
   /// Jobs of this cell that were moved to other cells.
   MovedJobs& Moved() { return moved_; }
   const MovedJobs& Moved() const { return moved_; }
@@ -313,8 +319,9 @@
   /// Processes a row of the answer to a renewal that was sent at `sent`.
   void ProcessRunningRun(Vm& vm, const RunningRunReport& row, Millis sent,
                          Millis now);
-  void ProcessEndedRun(Vm& vm, const EndedRunReport& row, bool lease_expired,
-                       Millis now);
+  /// `void_by`: why an end as done does not count; empty: it does.
+  void ProcessEndedRun(Vm& vm, const EndedRunReport& row,
+                       std::optional<RunEventKind> void_by, Millis now);
   /// When a run whose stop the VM has confirmed, or that is missing from its
   /// reports, has ended at the latest.
   Millis StoppedBy(const Run& run) const;
@@ -323,7 +330,8 @@
   bool UpdateAbsentRun(Run& run, Millis sent) const;
   /// The same for a run that belongs to no task.
   bool UpdateAbsentOrphan(RunOnVm& run, Millis sent) const;
-  void ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent);
+  void ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent,
+                         Millis now);
   void ReleaseRun(Vm& vm, const TaskRef& ref, int number);
   /// Returns false if the report is from a former worker of the VM. If it is
   /// from a new one, ends what the former one executed.
@@ -525,6 +533,9 @@
   /// know of it.
   bool IssueStop(const TaskRef& ref, Run& run, Millis now,
                  std::vector<RunCommand>& commands);
+  /// Notes what was concluded about a run, or about its end `end`, for the log.
+  void NoteRun(RunEventKind kind, const Vm& vm, const RunKey& key, Millis now,
+               std::int64_t end = 0);
   std::vector<Vm*> AllVms();
   bool CanStartRuns(const Job& job) const;
   /// The turns of active jobs by priority, then by tier, then by the time of
@@ -601,6 +612,7 @@
   /// Runs on VMs that belong to no task and have to be stopped, with the time
   /// of the last stop command.
   std::map<std::pair<std::string, RunKey>, Millis> orphaned_runs_;
+  RunEvents run_events_;
   std::vector<VmLoss> vm_losses_;       ///< Not yet taken by TakeVmLosses.
   std::map<TaskRef, TaskCopy> copies_;  ///< Whose runs may be executing.
   std::vector<CopyEvent> copy_events_;  ///< Not yet taken by TakeCopyEvents.
--- a/src/libs/jobs/scheduler_losses.cc
+++ b/src/libs/jobs/scheduler_losses.cc
@@ -118,7 +118,11 @@
   std::erase_if(loss.runs, [&](const LostRun& run) {
     return kept.contains({run.task, run.run});
   });
+  const RunEventKind released = cause == VmLossCause::kLeaseExpired
+                                    ? RunEventKind::kReleasedByLease
+                                    : RunEventKind::kReleasedByRestart;
   for (const LostRun& run : loss.runs) {
+    NoteRun(released, vm, {run.task, run.run}, now);
     ReleaseRun(vm, run.task, run.run);
     if (Job* job = FindJob(run.task.job)) MarkProgressDirty(*job);
   }
--- a/src/libs/jobs/scheduler_releases.cc
+++ b/src/libs/jobs/scheduler_releases.cc
@@ -41,7 +41,8 @@
          run.absent_since + settings_.max_stop_duration + settings_.stop_margin;
 }
 
-void Scheduler::ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent) {
+void Scheduler::ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent,
+                                  Millis now) {
   std::vector<RunKey> absent;
   for (const auto& [key, charge] : vm.Runs()) {
     const auto has = [&key = key](const auto& row) {
@@ -56,6 +57,7 @@
     if (ended) absent.push_back(key);
   }
   for (const RunKey& key : absent) {
+    NoteRun(RunEventKind::kReleasedAsAbsent, vm, key, now);
     ReleaseRun(vm, key.first, key.second);
     Job* job = FindJob(key.first.job);
     if (job) MarkProgressDirty(*job);
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -45,8 +45,10 @@
   if (!vm) return;
   if (!AcceptWorker(*vm, report, sent, now)) return;
   vm->reported_at = now;
-  const bool lease_expired =
-      vm->UpdateClock(report.clock_ms, sent, now) || vm->lease_expired;
+  const bool expired_by_clock = vm->UpdateClock(report.clock_ms, sent, now);
+  std::optional<RunEventKind> void_by;
+  if (expired_by_clock) void_by = RunEventKind::kVoidByClock;
+  if (vm->lease_expired) void_by = RunEventKind::kVoidByLeaseBound;
   // Run ends from before the lease expired that were not acknowledged are void.
   std::int64_t last_expiry = 0;
   for (const EndedRunReport& row : report.ended) {
@@ -54,7 +56,9 @@
   }
   for (const EndedRunReport& row : report.ended) {
     if (row.number <= vm->last_end) continue;
-    ProcessEndedRun(*vm, row, lease_expired || row.number < last_expiry, now);
+    const bool before_lapse = !void_by && row.number < last_expiry;
+    ProcessEndedRun(*vm, row,
+                    before_lapse ? RunEventKind::kVoidByLapse : void_by, now);
     vm->last_end = row.number;
     dirty_vms_[id] = row.number;
   }
@@ -62,7 +66,7 @@
     ProcessRunningRun(*vm, row, sent, now);
   // A run in neither list may have ended nevertheless if an end is not listed.
   if (!report.may_have_more_ends) {
-    ReleaseAbsentRuns(*vm, report, sent);
+    ReleaseAbsentRuns(*vm, report, sent, now);
     vm->reconciled = true;
   }
   tails_.Observe(*vm, now);
@@ -103,19 +107,24 @@
     vm.Add(key, MakeRunOnVm(spec));
     job->started = true;
     MarkProgressDirty(*job);
+    NoteRun(RunEventKind::kFound, vm, key, now);
   }
   if (!run) {
     RunOnVm orphan;
     orphan.needs_unknown = true;
     vm.Add(key, orphan);
     vm.FindRun(key)->absent_since = Millis(0);
-    orphaned_runs_.try_emplace({vm.listing.id, key}, Millis(0));
+    const bool is_new =
+        orphaned_runs_.try_emplace({vm.listing.id, key}, Millis(0)).second;
+    if (is_new) NoteRun(RunEventKind::kOrphaned, vm, key, now);
     return;
   }
   if (run->phase == RunPhase::kStarting || run->phase == RunPhase::kInDoubt) {
     run->phase = RunPhase::kRunning;
     run->confirmed_at = now;
     run->progressed_at = now;
+    if (run->running_since == Millis(0))
+      NoteRun(RunEventKind::kStartConfirmed, vm, key, now);
   }
   // The stop was confirmed before the run began, or had no effect.
   if (run->stop_confirmed && sent > StoppedBy(*run))
@@ -138,12 +147,15 @@
 }
 
 void Scheduler::ProcessEndedRun(Vm& vm, const EndedRunReport& row,
-                                bool lease_expired, Millis now) {
+                                std::optional<RunEventKind> void_by,
+                                Millis now) {
+  const RunKey key{row.task, row.run};
+  const bool is_done = row.end == RunEnd::kDone;
   Job* job = FindJob(row.task.job);
   Task* task = job ? job->FindOrAdd(row.task) : nullptr;
   const Run* run = task ? task->FindRun(row.run, vm.listing.id) : nullptr;
   const bool unjournaled = !run && IsUnjournaledRun(vm, job, task, row.run);
-  const RunOnVm* charged_run = vm.FindRun({row.task, row.run});
+  const RunOnVm* charged_run = vm.FindRun(key);
   const bool timed = run && run->created_at > Millis(0) && charged_run &&
                      charged_run->pace_changed_at == Millis(0);
   std::optional<Millis> run_time;
@@ -155,13 +167,21 @@
   if (task) ObserveEndForCopies(vm, *job, *task, row, run_time);
   const bool known = run || unjournaled;
   ReleaseRun(vm, row.task, row.run);
-  if (!known || IsFinal(job->record.status)) return;
+  if (!known || IsFinal(job->record.status)) {
+    if (!known) NoteRun(RunEventKind::kUnknownEnd, vm, key, now, row.number);
+    return;
+  }
   task->last_run = std::max(task->last_run, row.run);
   job->started = true;
   MarkProgressDirty(*job);
-  if (lease_expired || task->done) return;
+  if (void_by || task->done) {
+    const RunEventKind ignored = void_by.value_or(RunEventKind::kDoneBefore);
+    if (is_done) NoteRun(ignored, vm, key, now, row.number);
+    return;
+  }
   task->SaveCheckpoint(row.checkpoint, now);
-  if (row.end == RunEnd::kDone) {
+  if (is_done) {
+    NoteRun(RunEventKind::kDone, vm, key, now, row.number);
     vm.consecutive_failures = 0;
     OnTaskDone(*job, *task, row, now);
     ApplyDone(*job, row.task);
@@ -224,7 +244,8 @@
   const bool from_present_worker = sent >= vm->known_since;
   if (clock_ms > 0 && from_present_worker) vm->UpdateClock(clock_ms, sent, now);
   Task* task = FindTask(command.task);
-  Run* run = FindRun({command.task, command.run}, command.vm);
+  const RunKey key{command.task, command.run};
+  Run* run = FindRun(key, command.vm);
   if (outcome == RunCommandOutcome::kRestarted) {
     OnCommandToRestartedVm(*vm, command, run, sent, now);
     return;
@@ -236,7 +257,7 @@
     run->confirmed_at = now;
     return;
   }
-  RunOnVm* charged_run = vm->FindRun({command.task, command.run});
+  RunOnVm* charged_run = vm->FindRun(key);
   if (command.kind == RunCommandKind::kPace) {
     // An unanswered pace command is sent again.
     if (outcome == RunCommandOutcome::kUnknown && charged_run)
@@ -246,6 +267,8 @@
   switch (outcome) {
     case RunCommandOutcome::kDone:
       if (run->phase == RunPhase::kStopping) return;
+      if (run->running_since == Millis(0))
+        NoteRun(RunEventKind::kStartConfirmed, *vm, key, now);
       run->phase = RunPhase::kRunning;
       run->confirmed_at = now;
       run->progressed_at = now;
@@ -266,6 +289,7 @@
       break;
   }
   if (run->had_unanswered_start) return;
+  NoteRun(RunEventKind::kReleasedAsRefused, *vm, key, now);
   ReleaseRun(*vm, command.task, command.run);
   task->not_before = now + settings_.start_retry_interval;
   if (outcome == RunCommandOutcome::kRefused) {
--- a/src/libs/jobs/scheduler_status.cc
+++ b/src/libs/jobs/scheduler_status.cc
@@ -54,6 +54,29 @@
   return runs;
 }
 
+std::vector<RestoredJob> Scheduler::RestoredJobs(Millis now) const {
+  std::vector<RestoredJob> restored;
+  for (const auto& [key, job] : active_jobs_) {
+    if (!job->inherited) continue;
+    RestoredJob& row = restored.emplace_back();
+    row.id = job->id;
+    row.home_cell = job->record.home_cell;
+    row.age = now - job->accepted_at;
+    job->ForEachTask([&](const TaskRef&, const Task& task) {
+      row.done_tasks += task.done ? 1 : 0;
+      row.runs += static_cast<int>(task.runs.size());
+      row.delegated_tasks += task.host_cell >= 0 ? 1 : 0;
+    });
+  }
+  return restored;
+}
+
+void Scheduler::NoteRun(RunEventKind kind, const Vm& vm, const RunKey& key,
+                        Millis now, std::int64_t end) {
+  run_events_.Add({kind, key.first, key.second, vm.listing.id, end,
+                   vm.LatestLeaseExpiry() - now});
+}
+
 int Scheduler::PendingJobs(std::string_view queue) const {
   int pending = 0;
   for (const auto& [key, job] : active_jobs_) {
