--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -111,9 +111,14 @@
   for (const jobs::VmListing& listing : scheduler_.VmsToRenew()) {
     if (renewing_vms_.insert(listing.id).second) StartRenewals(listing.id);
   }
-  kLog.Info("event=owner_ready" + LogFields() +
-            " took_ms=" + std::to_string((Now() - started).count) +
-            " jobs=" + std::to_string(scheduler_.ActiveJobs()));
+  kLog.Info(
+      "event=owner_ready" + LogFields() +
+      " took_ms=" + std::to_string((Now() - started).count) +
+      " jobs=" + std::to_string(scheduler_.ActiveJobs()) +
+      " first_run=" + std::to_string(first_run) + " handed_over=" +
+      std::to_string(ownership_.handed_over ? 1 : 0) + " journal_complete=" +
+      std::to_string(ownership_.journal_complete ? 1 : 0) +
+      " unreachable_vms=" + std::to_string(ownership_.unreachable_vms.size()));
   LogRestoredJobs();
   SchedulePlan();
 }
@@ -171,7 +176,7 @@
     net::Spawn(context_, CheckMovedJob(shared_from_this()), "moved_job_check");
   }
   LogLongRunningWaits();
-  LogRunEvents();
+  if (Now() - last_run_log_ >= settings_.run_log_interval) LogRunEvents();
   if (!ready_ || Now() - last_summary_log_ < settings_.summary_log_interval)
     return;
   last_summary_log_ = Now();
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -47,6 +47,8 @@
   Millis mixed_renewal_wait{500};
   /// Interval of the "cell_state" and "task_waiting" log lines.
   Millis summary_log_interval{2'000};
+  /// Shortest interval of the log lines about runs.
+  Millis run_log_interval{250};
   /// Interval of the "long_running_waiting" log lines, their maximum number at
   /// a time, and how long a task has to be without a run.
   Millis wait_log_interval{1'000};
@@ -330,6 +332,7 @@
   std::optional<Millis> append_started_;  ///< Set while an append is pending.
   std::set<std::string> renewing_vms_;    ///< VMs with a running renewal loop.
   Millis last_summary_log_;
+  Millis last_run_log_;
   Millis last_wait_log_;
   Millis last_plan_;
   net::Timer plan_timer_;
--- a/src/libs/cell/cell_owner_runs.cc
+++ b/src/libs/cell/cell_owner_runs.cc
@@ -1,4 +1,5 @@
 #include <string>
+#include <vector>
 
 #include "base/logging.h"
 #include "cell/cell_owner.h"
@@ -6,36 +7,48 @@
 namespace basilspur::cell {
 
 static constexpr LogCategory kLog("cell");
+/// Leaves room for the fields before the list in a line of the log.
+static constexpr std::size_t kMaxListBytes = 3'400;
+
+/// Writes "FIELDS LIST=ITEM,ITEM…", in several lines if there are many items.
+static void LogList(const std::string& fields, const char* list,
+                    const std::vector<std::string>& items) {
+  std::string text;
+  for (const std::string& item : items) {
+    if (!text.empty() && text.size() + item.size() > kMaxListBytes) {
+      kLog.Info(fields + " " + list + "=" + text);
+      text.clear();
+    }
+    text += (text.empty() ? "" : ",") + item;
+  }
+  if (!text.empty()) kLog.Info(fields + " " + list + "=" + text);
+}
 
 void CellOwner::LogRunEvents() {
-  const jobs::RunEvents::Batches batches = scheduler_.Events().Take();
-  std::string common;
-  for (const jobs::RunEvents::Batch& batch : batches) {
+  last_run_log_ = Now();
+  const Millis confirmed_ago = Now() - standing_.confirmed_at();
+  const std::string common =
+      LogFields() + " sequence=" + std::to_string(sequence_) +
+      " confirmed_ms_ago=" + std::to_string(confirmed_ago.count);
+  for (const jobs::RunEvents::Batch& batch : scheduler_.Events().Take()) {
     if (batch.events.empty()) continue;
-    if (common.empty()) {
-      const Millis age = Now() - standing_.confirmed_at();
-      common = LogFields() + " sequence=" + std::to_string(sequence_) +
-               " confirmed_ms_ago=" + std::to_string(age.count);
-    }
-    std::string line =
-        "event=" + std::string(NameOf(batch.events.front().kind)) + common +
-        " count=" + std::to_string(batch.events.size() + batch.left_out) +
-        " runs=";
-    for (std::size_t i = 0; i < batch.events.size(); ++i)
-      line += (i == 0 ? "" : ",") + batch.events[i].ToString();
-    kLog.Info(line);
+    std::vector<std::string> runs;
+    for (const jobs::RunEvent& event : batch.events)
+      runs.push_back(event.ToString());
+    LogList("event=" + std::string(NameOf(batch.events.front().kind)) + common +
+                " count=" + std::to_string(runs.size()) +
+                " left_out=" + std::to_string(batch.left_out),
+            "runs", runs);
   }
 }
 
 void CellOwner::LogRestoredJobs() const {
-  for (const jobs::RestoredJob& job : scheduler_.RestoredJobs(Now())) {
-    kLog.Info("event=job_restored job=" + job.id + LogFields() +
-              " home=" + std::to_string(job.home_cell) +
-              " done=" + std::to_string(job.done_tasks) +
-              " runs=" + std::to_string(job.runs) +
-              " delegated=" + std::to_string(job.delegated_tasks) +
-              " age_ms=" + std::to_string(job.age.count));
-  }
+  std::vector<std::string> jobs;
+  for (const jobs::RestoredJob& job : scheduler_.RestoredJobs(Now()))
+    jobs.push_back(job.ToString());
+  LogList("event=jobs_restored" + LogFields() +
+              " count=" + std::to_string(jobs.size()),
+          "jobs", jobs);
 }
 
 }  // namespace basilspur::cell
--- a/src/libs/jobs/restored_job.h
+++ b/src/libs/jobs/restored_job.h
@@ -17,6 +17,15 @@
   int runs = 0;  ///< That may be executing.
   int delegated_tasks = 0;
   Millis age;  ///< Since its acceptance.
+
+  /// Returns "ID:done=N:runs=N:delegated=N:home=CELL:age_ms=N".
+  std::string ToString() const {
+    return id + ":done=" + std::to_string(done_tasks) +
+           ":runs=" + std::to_string(runs) +
+           ":delegated=" + std::to_string(delegated_tasks) +
+           ":home=" + std::to_string(home_cell) +
+           ":age_ms=" + std::to_string(age.count);
+  }
 };
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/run_events.h
+++ b/src/libs/jobs/run_events.h
@@ -36,7 +36,7 @@
   Batches Take() { return std::exchange(batches_, {}); }
 
  private:
-  static constexpr std::size_t kMaxEvents = 100;  ///< Of a kind.
+  static constexpr std::size_t kMaxEvents = 200;  ///< Of a kind.
 
   Batches batches_;
 };
