Split the request forwarder: calls of owners and serving of other entries

What it notes of owners' replies and how it serves other entries' requests stand in request_forwarder_peers.cc now; the names of requests in the log are beside their type. No change of behaviour.

--- a/src/libs/cell/peer_messages.h
+++ b/src/libs/cell/peer_messages.h
@@ -16,6 +16,9 @@
   kStepDown,  ///< From a peer: it owns the cell under a later token.
 };
 
+/// Returns the kind's name in the log.
+const char* NameOf(RequestKind kind);
+
 /// A caller's request to a queue as entries forward it to the cell's owner, or
 /// a peer's request to step down.
 struct JobRequest {
--- a/src/libs/cell/request_forwarder.h
+++ b/src/libs/cell/request_forwarder.h
@@ -100,6 +100,12 @@
   const Counters& Counts() const { return counters_; }
 
  private:
+  /// Part of a call's time limit in which the reply travels, so that a reply
+  /// "in doubt" arrives and is not taken for silence.
+  static constexpr Millis kHopMargin{60};
+  /// A call of an owner that takes longer is logged, by both sides.
+  static constexpr Millis kSlowCall{1'000};
+
   struct Search;
   struct Attempt;
 
