Confirm an ownership only by a read of its record

What callers may see: leases count as expired up to the time at which the ownership was last confirmed. An owner whose confirmation is unfounded starts tasks again that its successor keeps at work (TWICE), and never expires.

Cause: after an append that is not confirmed, CellMember::RereadPartition confirmed the ownership after each read that was answered, also if it held no owner record (status 404) or one that can't be decoded, which may be a later claim.

Change: the read has to hold the owner record, and that has to carry the token of this ownership.

Evidence: both sections of the new case fail without the change: the owner has not expired 13 s after its last record. They pass with it, as does the case that a read of the record confirms the ownership.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -296,17 +296,28 @@
   }
 }
 
+/// Returns the token of the ownership that the owner record belongs to, or -1.
+static std::int64_t TokenOf(const KeyedRecord& record) {
+  const auto decoded = records::Decode<OwnerRecord>(record.value);
+  if (!IsOk(decoded)) return -1;
+  const std::int64_t token = ValueOf(decoded).token;
+  return token >= 0 ? token : record.offset;
+}
+
 net::asio::awaitable<void> CellMember::RereadPartition(Millis sent) {
   const Result<NewestRecords> read = co_await store_.ReadNewest(partition_);
   if (!IsOk(read)) co_return;
   const Millis now = clock_.Monotonic();
+  std::int64_t token = -1;
   for (const KeyedRecord& record : ValueOf(read).records) {
+    if (record.key == kOwnerKey) token = TokenOf(record);
     OnRecord(record);
   }
   election_.OnEnd(ValueOf(read).end, now);
-  // The newest record belongs to this ownership, so no other node had claimed
-  // the cell by `sent`.
-  if (election_.Owns()) election_.OnConfirmed(sent);
+  // If the newest owner record belongs to this ownership, no other node had
+  // claimed the cell by `sent`. A read without that record shows nothing.
+  if (election_.Owns() && token == election_.Token())
+    election_.OnConfirmed(sent);
 }
 
 void CellMember::OnOwnerTerminated(const std::string& incarnation) {
--- a/tests/auto/cell/cell_member_test.cc
+++ b/tests/auto/cell/cell_member_test.cc
@@ -103,6 +103,36 @@
   CHECK(fixture.AskFor("unknown") == ReplyKind::kNotOwner);
 }
 
+/// Guards against an owner that takes leases for expired which its successor
+/// renews: the confirmation of the ownership bounds them.
+TEST_CASE("a read without the ownership's record does not confirm it") {
+  CellMemberFixture fixture;
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.store.watchers_cut = true;
+  SECTION("the store finds no records") {
+    fixture.store.empty_topic = fixture.partition.topic;
+  }
+  SECTION("the owner record can't be decoded") {
+    const auto end = static_cast<std::int64_t>(
+        fixture.store.Records(fixture.partition).size());
+    fixture.store.Append(fixture.partition, end, {{"owner", {'?'}, 0}});
+  }
+  fixture.store.on_append_at = [](auto&&...) { return AppendAnswer(); };
+  fixture.TickFor(kSettings.expiry + Millis(1'000));
+  CHECK(fixture.store.newest_reads[fixture.partition.topic] > 2);
+  CHECK(!fixture.member->Owns());
+}
+
+TEST_CASE("a read of the ownership's record confirms it") {
+  CellMemberFixture fixture;
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.store.on_append_at = [](auto&&...) { return AppendAnswer(); };
+  fixture.TickFor(kSettings.expiry + Millis(1'000));
+  CHECK(fixture.member->Owns());
+}
+
 TEST_CASE("an entry whose append failed unexpectedly renews again") {
   CellMemberFixture fixture;
   fixture.BecomeOwner();
--- a/tests/auto/cell/fake_store.cc
+++ b/tests/auto/cell/fake_store.cc
@@ -63,6 +63,7 @@
   if (newest_unreadable || partition.topic == unreadable_topic) {
     co_return Error{ErrorCode::kUnavailable, "read newest records", "", ""};
   }
+  if (partition.topic == empty_topic) co_return NewestRecords();
   std::map<std::string, KeyedRecord> by_key;
   for (const KeyedRecord& record : Records(partition)) {
     by_key[record.key] = record;
--- a/tests/auto/cell/fake_store.h
+++ b/tests/auto/cell/fake_store.h
@@ -60,6 +60,8 @@
   bool newest_unreadable = false;
   /// ReadNewest fails for this topic.
   std::string unreadable_topic;
+  /// ReadNewest finds no records of this topic.
+  std::string empty_topic;
   /// Number of calls to ReadNewest, by topic.
   std::map<std::string, int> newest_reads;
   /// Number of calls to AppendAt.
