Count a start as refused only if nothing was done

Cause: every status but 200, 409 and 421 counted as a refusal of a start, which releases the run, so that its task may start elsewhere. The pages say of 400, 429 and 503 only that nothing was done. After a 500, 502, 504 or 408, and after a 409 without a reason, the run may be there, or may have ended.

Change: any other status, and a 409 without a reason, leaves the start in doubt.

Evidence: the new case of wire_test.cc (27 combinations of status and body) fails without the change.

--- a/tests/auto/platform/wire_test.cc
+++ b/tests/auto/platform/wire_test.cc
@@ -170,6 +170,17 @@
   CHECK(outcome(421, "") == jobs::RunCommandOutcome::kRestarted);
   CHECK(outcome(429, "") == jobs::RunCommandOutcome::kRefused);
   CHECK(outcome(400, "no JSON") == jobs::RunCommandOutcome::kRefused);
+  CHECK(outcome(503, "") == jobs::RunCommandOutcome::kRefused);
+}
+
+// Guards against a run that is released although its start may have been
+// carried out.
+TEST_CASE("an answer that does not say that nothing was done is in doubt") {
+  const unsigned status =
+      GENERATE(201u, 204u, 302u, 404u, 408u, 409u, 500u, 502u, 504u);
+  const char* body = GENERATE("", "no JSON", R"({"clock_ms":1})");
+  CHECK(DecodeCommandAnswer(status, body).outcome ==
+        jobs::RunCommandOutcome::kUnknown);
 }
 
 TEST_CASE("a full list of run ends says that there may be more") {
