Acknowledge nothing to a worker that may have started again

Cause: HttpClient sends a request once more on a new connection if an idle one breaks, and uses a new one if the idle one is closed. Such a renewal can reach a worker that has just started again under the VM's id, and carries `last_seen` of the former one: ends that nobody has seen are discarded, and their tasks start again.

Change: HttpClient notes for each peer that a connection was lost. A renewal names a second body for that case, without acknowledgement, deadline and wait, and sends it, on any connection, until such a renewal was answered. Everything else stays: a connection that the peer has closed is no outage, and commands are sent as before.

Not covered: a renewal that opens a new connection since all others are in use, to a worker that has started again before any of these was seen to break.

Evidence: the new case of executor_client_test.cc, with a worker that ends before and after it has read the request, fails without the change.

--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -54,21 +54,36 @@
 
   /// Returns a connection that the peer has not closed, as far as is known.
   Stream TakeIdle(const std::string& address) {
-    std::vector<Stream>& idle = idle_[address];
-    while (!idle.empty()) {
-      Stream stream = std::move(idle.back());
-      idle.pop_back();
+    Peer& peer = peers_[address];
+    while (!peer.idle.empty()) {
+      Stream stream = std::move(peer.idle.back());
+      peer.idle.pop_back();
       if (IsOpen(*stream)) return stream;
+      peer.lost_connection = true;
     }
     return nullptr;
   }
 
+  /// Whether a connection to the peer was lost and nothing has shown since
+  /// which process listens there.
+  bool HasLostConnection(const std::string& address) const {
+    const auto found = peers_.find(address);
+    return found != peers_.end() && found->second.lost_connection;
+  }
+  void SetLostConnection(const std::string& address, bool lost) {
+    peers_[address].lost_connection = lost;
+  }
+
   /// The peer may have become unreachable: what is sent on its other idle
   /// connections might be executed late or never.
-  void DropIdle(const std::string& address) { idle_.erase(address); }
+  void DropIdle(const std::string& address) {
+    Peer& peer = peers_[address];
+    peer.idle.clear();
+    peer.lost_connection = true;
+  }
 
   void PutIdle(const std::string& address, Stream stream) {
-    std::vector<Stream>& idle = idle_[address];
+    std::vector<Stream>& idle = peers_[address].idle;
     if (idle.size() < kMaxIdlePerPeer) idle.push_back(std::move(stream));
   }
 
@@ -136,9 +151,14 @@
   }
 
  private:
+  struct Peer {
+    std::vector<Stream> idle;
+    bool lost_connection = false;  ///< See HasLostConnection.
+  };
+
   asio::io_context& context_;
   CallLimiter limiter_;
-  std::map<std::string, std::vector<Stream>> idle_;
+  std::map<std::string, Peer> peers_;
 };
 
 HttpClient::HttpClient(asio::io_context& context, HttpClientOptions options)
@@ -174,30 +194,39 @@
                                               : Outcome::kFailed;
 }
 
-asio::awaitable<Result<HttpResponse>> HttpClient::Call(std::string address,
-                                                       HttpRequest request,
-                                                       Millis timeout) {
+asio::awaitable<Result<HttpResponse>> HttpClient::Call(
+    std::string address, HttpRequest request, Millis timeout,
+    std::optional<std::string> body_after_loss) {
   const std::shared_ptr<Private> d = d_;
   if (!d->Limiter().TryBegin(address)) {
     co_return Error{ErrorCode::kUnavailable, kLimitStep, address,
                     "the peer does not answer the calls under way"};
   }
   CountedCall call(d->Limiter(), address);
-  Result<HttpResponse> result =
-      co_await CallAnyConnection(d, address, std::move(request), timeout);
+  Result<HttpResponse> result = co_await CallAnyConnection(
+      d, address, std::move(request), timeout, std::move(body_after_loss));
   call.outcome = OutcomeOf(result, timeout);
   co_return result;
 }
 
 asio::awaitable<Result<HttpResponse>> HttpClient::CallAnyConnection(
     std::shared_ptr<Private> d, std::string address, HttpRequest request,
-    Millis timeout) {
+    Millis timeout, std::optional<std::string> body_after_loss) {
   bool keep_alive = false;
+  bool has_other_body = false;
+  const auto replace_body_after_loss = [&] {
+    if (!body_after_loss || !d->HasLostConnection(address)) return;
+    request.body = *body_after_loss;
+    has_other_body = true;
+  };
   std::optional<Error> idle_error;
-  if (Stream idle = d->TakeIdle(address)) {
+  Stream idle = d->TakeIdle(address);
+  replace_body_after_loss();
+  if (idle) {
     Result<HttpResponse> result =
         co_await d->Exchange(*idle, address, request, timeout, &keep_alive);
     if (IsOk(result)) {
+      if (has_other_body) d->SetLostConnection(address, false);
       if (keep_alive) d->PutIdle(address, std::move(idle));
       co_return result;
     }
@@ -206,9 +235,12 @@
       co_return result;
     }
     if (ErrorOf(result).step == kReceiveStep) idle_error = ErrorOf(result);
+    d->SetLostConnection(address, true);
+    replace_body_after_loss();
   }
   Result<Stream> connected = co_await d->Connect(address, timeout);
   if (!IsOk(connected)) {
+    d->SetLostConnection(address, true);
     // The peer may have processed the request that was sent on the broken
     // connection, so its error is reported instead of the failure to connect.
     if (idle_error) co_return *idle_error;
@@ -219,9 +251,11 @@
       co_await d->Exchange(*stream, address, request, timeout, &keep_alive);
   if (IsOk(result)) {
     ValueOf(result).is_to_second_copy = idle_error.has_value();
+    if (has_other_body) d->SetLostConnection(address, false);
     if (keep_alive) d->PutIdle(address, std::move(stream));
     co_return result;
   }
+  d->SetLostConnection(address, true);
   if (ErrorOf(result).code == ErrorCode::kTimeout) d->DropIdle(address);
   if (idle_error && ErrorOf(result).step == kSendStep) co_return *idle_error;
   co_return result;
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -2,6 +2,7 @@
 #define BASILSPUR_NET_HTTP_CLIENT_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -38,16 +39,21 @@
   /// not arrive within `timeout` ms. The steps "limit", "connect" and "send"
   /// mean that the peer did not receive a complete request; "limit" is that of
   /// HttpClientOptions.
-  asio::awaitable<Result<HttpResponse>> Call(std::string address,
-                                             HttpRequest request,
-                                             Millis timeout);
+  ///
+  /// `body_after_loss` is for a request whose body is meant for the process
+  /// that answered before. Once a connection to the peer has been lost, another
+  /// process may listen there, so the request has that body instead until such
+  /// a request was answered.
+  asio::awaitable<Result<HttpResponse>> Call(
+      std::string address, HttpRequest request, Millis timeout,
+      std::optional<std::string> body_after_loss = std::nullopt);
 
  private:
   class Private;
   /// Sends the request on an idle connection or on a new one.
   static asio::awaitable<Result<HttpResponse>> CallAnyConnection(
       std::shared_ptr<Private> d, std::string address, HttpRequest request,
-      Millis timeout);
+      Millis timeout, std::optional<std::string> body_after_loss);
 
   std::shared_ptr<Private> d_;
 };
--- a/tests/auto/platform/executor_client_test.cc
+++ b/tests/auto/platform/executor_client_test.cc
@@ -6,6 +6,11 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <variant>
+#include <vector>
+
+#include "net/timer.h"
+#include "wire.h"
 
 using namespace basilspur;  // NOLINT(google-build-using-namespace)
 namespace asio = basilspur::net::asio;
@@ -112,3 +117,91 @@
         cell::RenewalFailure::kDisconnected);
   CHECK(FailureOfRenewal(KeepSilent) == cell::RenewalFailure::kNoAnswer);
 }
+
+static constexpr char kReport[] =
+    "HTTP/1.1 200 OK\r\nContent-Length: 41\r\n\r\n"
+    "{\"clock_ms\":1,\"running\":[],\"finished\":[]}";
+
+/// Reads a renewal and returns its body, which ends with "}".
+static asio::awaitable<std::string> ReadRenewal(Tcp::socket& socket) {
+  std::string text;
+  co_await asio::async_read_until(socket, asio::dynamic_buffer(text), "}",
+                                  asio::use_awaitable);
+  co_return text.substr(text.find('{'));
+}
+
+static asio::awaitable<void> SendReport(Tcp::socket& socket) {
+  co_await asio::async_write(socket, asio::buffer(std::string(kReport)),
+                             asio::use_awaitable);
+}
+
+/// How a worker ends between two renewals.
+enum class WorkerEnd { kBeforeRequest, kAfterRequest };
+
+/// A worker that answers one renewal and ends, and another one that starts at
+/// its address.
+struct RestartingWorker {
+  explicit RestartingWorker(asio::io_context& context)
+      : acceptor(context,
+                 Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {}
+
+  asio::awaitable<void> Run(WorkerEnd end) {
+    {
+      Tcp::socket former = co_await acceptor.async_accept(asio::use_awaitable);
+      to_former.push_back(co_await ReadRenewal(former));
+      co_await SendReport(former);
+      if (end == WorkerEnd::kAfterRequest)
+        to_former.push_back(co_await ReadRenewal(former));
+    }
+    Tcp::socket present = co_await acceptor.async_accept(asio::use_awaitable);
+    for (int renewals = 0; renewals < 2; ++renewals) {
+      to_present.push_back(co_await ReadRenewal(present));
+      co_await SendReport(present);
+    }
+  }
+
+  Tcp::acceptor acceptor;
+  std::vector<std::string> to_former;
+  std::vector<std::string> to_present;
+};
+
+// Guards against ends that a worker discards before anyone has seen them: it
+// has started again and numbers them anew.
+TEST_CASE(
+    "the first renewal that reaches a worker that has started again neither "
+    "acknowledges ends nor extends the lease") {
+  const WorkerEnd end =
+      GENERATE(WorkerEnd::kBeforeRequest, WorkerEnd::kAfterRequest);
+  asio::io_context context;
+  RestartingWorker worker(context);
+  asio::co_spawn(context, worker.Run(end), asio::detached);
+  jobs::VmListing vm;
+  vm.address =
+      "127.0.0.1:" + std::to_string(worker.acceptor.local_endpoint().port());
+  cell::Renewal renewal;
+  renewal.fencing_token = 3;
+  renewal.acknowledged_end = 7;
+  renewal.deadline_ms = 5'000;
+  renewal.max_wait = Millis(1'000);
+  int reports = 0;
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        adapter::ExecutorClient client(context);
+        for (int call = 0; call < 3; ++call) {
+          const cell::RenewalAnswer answer = co_await client.Renew(vm, renewal);
+          reports += std::holds_alternative<jobs::VmReport>(answer) ? 1 : 0;
+          co_await net::Sleep(Millis(20));
+        }
+      },
+      asio::detached);
+  context.run();
+  const std::string full = adapter::EncodeRenewal(renewal);
+  // A connection that the worker has closed is no outage.
+  CHECK(reports == 3);
+  CHECK(worker.to_former.front() == full);
+  CHECK(worker.to_former.back() == full);
+  REQUIRE(worker.to_present.size() == 2);
+  CHECK(worker.to_present[0] == R"({"fence":3,"last_seen":0,"wait_ms":0})");
+  CHECK(worker.to_present[1] == full);
+}
