--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -173,13 +173,20 @@
       HandleFenced();
       co_return false;
     case RenewalFailure::kRestarted:
-      scheduler_.OnVmRestarted(vm.id, Now());
+      if (scheduler_.OnVmRestarted(vm.id, sent, Now())) {
+        kLog.Info(
+            "event=vm_restarted reason=\"the VM answered as another "
+            "incarnation; releasing its runs\" vm=" +
+            vm.id);
+        SchedulePlan();
+        co_return false;
+      }
       kLog.Info(
-          "event=vm_restarted reason=\"the VM answered as another incarnation; "
-          "releasing its runs\" vm=" +
-          vm.id);
-      SchedulePlan();
-      co_return false;
+          "event=vm_answered_by_other reason=\"another incarnation answered at "
+          "an address where the VM is not known to have been; its runs are "
+          "kept until its lease expires\" vm=" +
+          vm.id + " address=" + vm.address);
+      break;
     case RenewalFailure::kDisconnected:
       HandleOutage(vm.id, jobs::VmOutage::kDisconnected);
       break;
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -41,8 +41,7 @@
 void Scheduler::UpsertVm(const VmListing& listing, Millis now) {
   Vm* known = FindVm(listing.id);
   if (known) {
-    known->listing = listing;
-    known->SetListed(true);
+    known->SetListing(listing, now);
     return;
   }
   auto vm = std::make_unique<Vm>(listing);
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -186,8 +186,10 @@
                 Millis now);
   /// A renewal of the VM's lease was not answered.
   void OnVmUnreachable(const std::string& vm, VmOutage outage, Millis now);
-  /// The VM has restarted, so no run of this incarnation is left.
-  void OnVmRestarted(const std::string& vm, Millis now);
+  /// A call to the VM, sent at `sent`, was answered by another incarnation.
+  /// Returns whether this shows that no run of this incarnation is left; see
+  /// Vm::IsPresentCall and Vm::IsKnownAtAddress.
+  bool OnVmRestarted(const std::string& vm, Millis sent, Millis now);
   /// Returns the incarnations of VMs that were lost with runs on them since the
   /// last call.
   std::vector<VmLoss> TakeVmLosses();
@@ -361,9 +363,12 @@
   /// was lost is not known.
   VmLoss MakeVmLoss(const Vm& vm, VmLossCause cause, Millis now,
                     std::optional<Millis> restarted_before = {});
-  /// The next incarnation of the VM has answered a command that was sent at
-  /// `sent`. `run` is the command's run, or null.
-  void OnCommandToRestartedVm(Vm& vm, const RunCommand& command, const Run* run,
+  /// Releases all runs of the VM if OnVmRestarted says that none is left, and
+  /// returns whether it does. For `restarted_before` see MakeVmLoss.
+  bool LoseRestartedVm(Vm& vm, Millis sent, Millis now,
+                       std::optional<Millis> restarted_before);
+  /// Like OnVmRestarted, for a command. `run` is the command's run, or null.
+  bool OnCommandToRestartedVm(Vm& vm, const RunCommand& command, const Run* run,
                               Millis sent, Millis now);
   /// The VM has closed its connection. Marks the runs that may have crashed it.
   void MarkCrashingRuns(Vm& vm, Millis now);
--- a/src/libs/jobs/scheduler_losses.cc
+++ b/src/libs/jobs/scheduler_losses.cc
@@ -40,16 +40,27 @@
   }
 }
 
-void Scheduler::OnVmRestarted(const std::string& id, Millis now) {
+bool Scheduler::OnVmRestarted(const std::string& id, Millis sent, Millis now) {
   Vm* vm = FindVm(id);
-  if (!vm) return;
-  LoseRuns(*vm, VmLossCause::kRestarted, now);
-  vm->reachable = false;
-  vm->reconciled = true;
-  vm->lease_expired = true;
+  return vm && LoseRestartedVm(*vm, sent, now, {});
 }
 
-void Scheduler::OnCommandToRestartedVm(Vm& vm, const RunCommand& command,
+bool Scheduler::LoseRestartedVm(Vm& vm, Millis sent, Millis now,
+                                std::optional<Millis> restarted_before) {
+  if (!vm.IsPresentCall(sent)) return false;
+  if (!vm.IsKnownAtAddress()) {
+    // It may live at another address, so only its lease ends its runs.
+    OnVmUnreachable(vm.listing.id, VmOutage::kSilent, now);
+    return false;
+  }
+  LoseRuns(vm, VmLossCause::kRestarted, now, {}, restarted_before);
+  vm.reachable = false;
+  vm.reconciled = true;
+  vm.lease_expired = true;
+  return true;
+}
+
+bool Scheduler::OnCommandToRestartedVm(Vm& vm, const RunCommand& command,
                                        const Run* run, Millis sent,
                                        Millis now) {
   const bool only_start =
@@ -58,8 +69,7 @@
   // incarnation.
   const Millis restarted_before =
       only_start ? std::min(run->created_at, sent) : sent;
-  LoseRuns(vm, VmLossCause::kRestarted, now, {}, restarted_before);
-  OnVmRestarted(vm.listing.id, now);
+  return LoseRestartedVm(vm, sent, now, restarted_before);
 }
 
 Millis Scheduler::SoleOwnerUntil(Millis now) const {
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -45,6 +45,7 @@
   if (!vm) return;
   if (!AcceptWorker(*vm, report, sent, now)) return;
   vm->reported_at = now;
+  if (sent > vm->address_changed_at) vm->answered_at_address = true;
   const bool expired_by_clock = vm->UpdateClock(report.clock_ms, sent, now);
   std::optional<RunEventKind> void_by;
   if (expired_by_clock) void_by = RunEventKind::kVoidByClock;
@@ -241,14 +242,16 @@
                                  Millis now) {
   Vm* vm = FindVm(command.vm);
   if (!vm) return;
-  const bool from_present_worker = sent >= vm->known_since;
+  // Another incarnation answers with its own clock.
+  const bool from_present_worker =
+      sent >= vm->known_since && outcome != RunCommandOutcome::kRestarted;
   if (clock_ms > 0 && from_present_worker) vm->UpdateClock(clock_ms, sent, now);
   Task* task = FindTask(command.task);
   const RunKey key{command.task, command.run};
   Run* run = FindRun(key, command.vm);
   if (outcome == RunCommandOutcome::kRestarted) {
-    OnCommandToRestartedVm(*vm, command, run, sent, now);
-    return;
+    if (OnCommandToRestartedVm(*vm, command, run, sent, now)) return;
+    outcome = RunCommandOutcome::kUnknown;
   }
   if (!run) return;
   if (command.kind == RunCommandKind::kStop) {
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -64,6 +64,21 @@
            (either_unknown || listing.worker_start_ms == worker_start_ms);
 }
 
+void Vm::SetListing(const VmListing& entry, Millis now) {
+  if (entry.address != listing.address) {
+    address_changed_at = now;
+    answered_at_address = false;
+  }
+  listing = entry;
+  SetListed(true);
+}
+
+bool Vm::IsPresentCall(Millis sent) const {
+  const bool to_present_address =
+      address_changed_at == Millis(0) || sent > address_changed_at;
+  return to_present_address && sent >= reported_at;
+}
+
 void Vm::SetListed(bool has_entry) {
   has_entry_ = has_entry;
   UpdateListed();
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -97,6 +97,16 @@
   Millis LatestLeaseExpiry() const;
   bool HasLeaseExpired(Millis now) const { return now > LatestLeaseExpiry(); }
 
+  /// Sets the listing of the VM's directory entry.
+  void SetListing(const VmListing& entry, Millis now);
+  /// Whether the answer to a call that was sent at `sent` may be of the
+  /// present: the call went to the VM's present address, and no report has
+  /// arrived since.
+  bool IsPresentCall(Millis sent) const;
+  /// Whether another process at the VM's address shows that the VM has ended.
+  /// An address that only an earlier owner knew may be one that the VM had
+  /// before, and another VM has now.
+  bool IsKnownAtAddress() const { return listed || answered_at_address; }
   /// The directory has an entry of the VM, or has none any more.
   void SetListed(bool has_entry);
   /// Sets the start of the present worker.
@@ -139,8 +149,12 @@
   /// worker, as far as both name one. Another one's labels and room say nothing
   /// of what this one can run.
   bool listed = true;
-  bool reachable = false;    ///< The VM answered the last renewal.
-  Millis reported_at;        ///< When the last report arrived.
+  bool reachable = false;  ///< The VM answered the last renewal.
+  Millis reported_at;      ///< When the last report arrived.
+  /// When the VM's listing last got another address; 0: never.
+  Millis address_changed_at;
+  /// The VM has answered this owner at its present address.
+  bool answered_at_address = false;
   Millis unreachable_since;  ///< Valid only while the VM is unreachable.
   /// How the present outage began; empty: no call has failed since the last
   /// answer.
--- a/tests/auto/cell/cell_owner_test.cc
+++ b/tests/auto/cell/cell_owner_test.cc
@@ -173,3 +173,20 @@
   fixture.PumpFor(Millis(50));
   CHECK(CountProgressRecords(fixture) > before);
 }
+
+// Guards against a VM that is given up by the word of another process at the
+// address that it had when the journal was written.
+TEST_CASE("an owner goes on to renew a VM that it knows by the journal only") {
+  CellMemberFixture fixture;
+  const Partition journal{"keyed.jobs", 0};
+  jobs::VmRecord record;
+  record.address = "vm:1";
+  fixture.store.Append(journal, 0, {{"vvm", records::Encode(record), 0}});
+  fixture.vms.failure = RenewalFailure::kRestarted;
+  fixture.BecomeOwner();
+  for (int i = 0; i < 5; ++i) {
+    fixture.PumpFor(Millis(300));
+    fixture.TickFor(Millis(300));
+  }
+  CHECK(fixture.vms.renewals.size() > 2);
+}
--- a/tests/auto/jobs/delegations_test.cc
+++ b/tests/auto/jobs/delegations_test.cc
@@ -259,7 +259,7 @@
       host.scheduler.OnVmUnreachable(command.vm, VmOutage::kDisconnected,
                                      host.now);
       host.now = host.now + Millis(3'200);
-      host.scheduler.OnVmRestarted(command.vm, host.now);
+      host.scheduler.OnVmRestarted(command.vm, host.now, host.now);
     }
     host.AddVm("h" + std::to_string(round));
   }
--- a/tests/auto/jobs/task_copy_ends_test.cc
+++ b/tests/auto/jobs/task_copy_ends_test.cc
@@ -61,7 +61,8 @@
     cell.fixture.Answer(*stop, RunCommandOutcome::kDone);
   }
   SECTION("its VM has restarted") {
-    cell.fixture.scheduler.OnVmRestarted(copy->vm, cell.fixture.now);
+    cell.fixture.scheduler.OnVmRestarted(copy->vm, cell.fixture.now,
+                                         cell.fixture.now);
   }
   cell.fixture.Plan();
   cell.fixture.Flush();
@@ -192,7 +193,8 @@
   const auto copy = cell.PlanCopy();
   REQUIRE(copy);
   cell.fixture.Answer(*copy, RunCommandOutcome::kDone);
-  cell.fixture.scheduler.OnVmRestarted(cell.SlowVm(), cell.fixture.now);
+  cell.fixture.scheduler.OnVmRestarted(cell.SlowVm(), cell.fixture.now,
+                                       cell.fixture.now);
   CHECK_FALSE(cell.FindCommand(RunCommandKind::kStart));
   cell.End(cell.slow.index, 2, copy->vm, RunEnd::kDone);
   cell.fixture.Flush();
--- a/tests/auto/jobs/vm_crashes_test.cc
+++ b/tests/auto/jobs/vm_crashes_test.cc
@@ -40,7 +40,7 @@
                VmOutage outage = VmOutage::kDisconnected) {
     fixture_.scheduler.OnVmUnreachable(vm, outage, fixture_.now);
     fixture_.now = fixture_.now + kTimeToRestart;
-    fixture_.scheduler.OnVmRestarted(vm, fixture_.now);
+    fixture_.scheduler.OnVmRestarted(vm, fixture_.now, fixture_.now);
     fixture_.scheduler.UnlistVm(vm);
     Add();
   }
@@ -113,7 +113,7 @@
                                     fixture.now);
   fixture.Flush();
   const std::unique_ptr<Scheduler> next = fixture.TakeOver(10'001);
-  next->OnVmRestarted(third.vm, fixture.now);
+  next->OnVmRestarted(third.vm, fixture.now, fixture.now);
   CHECK(next->Plan(fixture.wall_ms, fixture.now).empty());
   next->OnDurable(next->TakeBatch(fixture.wall_ms));
   CHECK(next->VisibleStateOf(kJob) == VisibleJobState::kFailed);
--- a/tests/auto/jobs/worker_restarts_test.cc
+++ b/tests/auto/jobs/worker_restarts_test.cc
@@ -204,3 +204,115 @@
   fixture.now = fixture.now + Millis(3'000);
   CHECK(CountStarts(fixture.Plan()) == 1);
 }
+
+namespace {
+
+/// A job has a run on "vm", and "other" has room for it.
+struct RunOnOneVm : SchedulerFixture {
+  RunOnOneVm() {
+    AddVm("vm");
+    Accept(kFirst, MakeJob({MakeStep(1, 1'000)}));
+    start = StartOf(PlanAndConfirm());
+    Flush();
+    AddVm("other");
+  }
+
+  RunningRunReport Row() const {
+    RunningRunReport row;
+    row.task = start.task;
+    row.run = start.run;
+    return row;
+  }
+
+  RunCommand start;
+};
+
+}  // namespace
+
+// Guards against runs that are started again while their VM, which lives at
+// another address, executes them.
+TEST_CASE("421 from an address that only the journal names releases nothing") {
+  RunOnOneVm cell;
+  // The list of VMs has not been read, and "vm" has another address by now.
+  const VmListing present = cell.listings.front();
+  cell.listings.erase(cell.listings.begin());
+  const auto next = cell.TakeOver(10'001);
+  const auto report_other = [&] {
+    VmReport report;
+    report.clock_ms = cell.now.count;
+    report.worker_start_ms = 1'600'000'000'000;
+    next->NextDeadline("other", cell.now);
+    next->OnReport("other", report, cell.now, cell.now);
+    next->OnDurable(next->TakeBatch(cell.wall_ms));
+  };
+  report_other();
+  CHECK_FALSE(next->OnVmRestarted("vm", cell.now, cell.now));
+  CHECK(CountStarts(next->Plan(cell.wall_ms, cell.now)) == 0);
+  SECTION("the VM has ended while the cell had no owner") {
+    // Its lease bounds the wait.
+    cell.now = cell.now + cell.settings.max_inherited_lease + kTick;
+    report_other();
+    CHECK(CountStarts(next->Plan(cell.wall_ms, cell.now)) == 1);
+  }
+  SECTION("the VM's entry names the address") {
+    next->UpsertVm(present, cell.now);
+    CHECK(next->OnVmRestarted("vm", cell.now, cell.now));
+    CHECK(CountStarts(next->Plan(cell.wall_ms, cell.now)) == 1);
+  }
+  SECTION("the VM's entry names another address") {
+    VmListing moved = present;
+    moved.address = "vm:2";
+    const Millis sent = cell.now;
+    cell.now = cell.now + kTick;
+    next->UpsertVm(moved, cell.now);
+    CHECK_FALSE(next->OnVmRestarted("vm", sent, cell.now));
+    CHECK(CountStarts(next->Plan(cell.wall_ms, cell.now)) == 0);
+  }
+}
+
+// Guards against runs that are released by the word of a process at an address
+// that is no longer the VM's.
+TEST_CASE("421 from a former address of the VM releases nothing") {
+  RunOnOneVm cell;
+  const Millis sent = cell.now;
+  cell.now = cell.now + kTick;
+  VmListing moved = cell.listings.front();
+  moved.address = "vm:2";
+  cell.scheduler.UpsertVm(moved, cell.now);
+  CHECK_FALSE(cell.scheduler.OnVmRestarted("vm", sent, cell.now));
+  CHECK(CountStarts(cell.Plan()) == 0);
+  CHECK(cell.scheduler.RunsOf(kFirst).size() == 1);
+}
+
+// Guards against runs that are released although the VM has reported them
+// since.
+TEST_CASE("421 that a later report of the VM has overtaken releases nothing") {
+  RunOnOneVm cell;
+  const Millis sent = cell.now;
+  cell.now = cell.now + kTick;
+  cell.Report("vm", {cell.Row()});
+  SECTION("of a renewal") {
+    CHECK_FALSE(cell.scheduler.OnVmRestarted("vm", sent, cell.now));
+  }
+  SECTION("of a command") {
+    cell.scheduler.OnCommandOutcome(cell.start, RunCommandOutcome::kRestarted,
+                                    0, sent, cell.now);
+  }
+  CHECK(CountStarts(cell.Plan()) == 0);
+  CHECK(cell.scheduler.RunsOf(kFirst).size() == 1);
+}
+
+// Guards against a lease that counts as expired by another process's clock.
+TEST_CASE("the clock in a 421 is not that of the VM") {
+  RunOnOneVm cell;
+  const Millis sent = cell.now;
+  cell.now = cell.now + kTick;
+  cell.Report("vm", {cell.Row()});
+  const std::int64_t foreign_clock = cell.now.count + 60'000;
+  RunCommand stop = cell.start;
+  stop.kind = RunCommandKind::kStop;
+  cell.scheduler.OnCommandOutcome(stop, RunCommandOutcome::kRestarted,
+                                  foreign_clock, sent, cell.now);
+  cell.scheduler.OnVmUnreachable("vm", VmOutage::kSilent, cell.now);
+  CHECK(CountStarts(cell.Plan()) == 0);
+}
