Tell a worker that does not name its start by its clock

Cause: a report without `born`, after reports that had it, counted as the same worker's. A worker that has started again without naming its start so had its first ends, whose numbers start anew, taken for known ones and acknowledged.

Change: such a report is of another worker if it was asked for after the VM's clock was read and shows an earlier time: a worker's clock never goes back. Reports of workers that never name a start are handled as before.

Evidence: the new case of worker_restarts_test.cc fails without the change.

--- a/src/libs/jobs/scheduler_workers.cc
+++ b/src/libs/jobs/scheduler_workers.cc
@@ -8,12 +8,13 @@
                              Millis now) {
   const bool differs = report.worker_start_ms != vm.worker_start_ms;
   const bool known = vm.worker_start_ms > 0 && report.worker_start_ms > 0;
-  if (differs && known) {
-    // The start is a time of day, which may jump back. So not the smaller one
-    // is out of date, but the one that was asked for before the other arrived.
-    if (sent < vm.reported_at) return false;
-    ReplaceWorker(vm, report, sent, now);
-  }
+  // The start is a time of day, which may jump back. So not the smaller one is
+  // out of date, but the one that was asked for before the other arrived.
+  if (differs && known && sent < vm.reported_at) return false;
+  const bool unnamed = differs && report.worker_start_ms == 0;
+  const bool is_other =
+      known ? differs : unnamed && vm.IsClockOfOther(report.clock_ms, sent);
+  if (is_other) ReplaceWorker(vm, report, sent, now);
   if (report.worker_start_ms > 0) vm.SetWorkerStart(report.worker_start_ms);
   return true;
 }
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -92,6 +92,11 @@
   /// `now` to a call sent at `sent`. Returns true if the lease had expired
   /// before the call reached the VM.
   bool UpdateClock(std::int64_t clock_ms, Millis sent, Millis now);
+  /// Whether the answer to a call that was sent at `sent` is of another worker:
+  /// a worker's clock never goes back.
+  bool IsClockOfOther(std::int64_t clock_ms, Millis sent) const {
+    return clock_.known && sent >= clock_.read_at && clock_ms < clock_.time_ms;
+  }
   /// Returns the time, on the owner's clock, after which no run can still be
   /// executing under a lease granted so far.
   Millis LatestLeaseExpiry() const;
--- a/tests/auto/jobs/worker_restarts_test.cc
+++ b/tests/auto/jobs/worker_restarts_test.cc
@@ -316,3 +316,33 @@
   cell.scheduler.OnVmUnreachable("vm", VmOutage::kSilent, cell.now);
   CHECK(CountStarts(cell.Plan()) == 0);
 }
+
+// Guards against ends of a new worker that are taken for known ones and are
+// acknowledged.
+TEST_CASE("a worker that does not name its start is known by its clock") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  RunJob(fixture, kFirst, 1);
+  fixture.Accept(kSecond, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  const RunCommand start = StartOf(fixture.PlanAndConfirm());
+  VmReport report;
+  report.ended = {fixture.MakeEnd(1, start.task, start.run, RunEnd::kDone)};
+  SECTION("its clock has gone back") {
+    report.clock_ms = 1'000;
+    fixture.scheduler.OnReport("vm", report, fixture.now, fixture.now);
+    fixture.Flush();
+    CHECK(fixture.scheduler.VisibleStateOf(kSecond) == VisibleJobState::kDone);
+  }
+  SECTION("its clock goes on") {
+    report.clock_ms = fixture.now.count;
+    fixture.scheduler.OnReport("vm", report, fixture.now, fixture.now);
+    CHECK(fixture.scheduler.EndToAcknowledge("vm") == 1);
+    CHECK(fixture.scheduler.RunsOf(kSecond).size() == 1);
+  }
+  SECTION("the report was asked for before the clock was read") {
+    report.clock_ms = fixture.now.count - 1'000;
+    fixture.scheduler.OnReport("vm", report, fixture.now - Millis(1'000),
+                               fixture.now);
+    CHECK(fixture.scheduler.EndToAcknowledge("vm") == 1);
+  }
+}
