Count an end as done although its run was released before

Cause: an end as done of a run that the owner does not know was dropped, and acknowledged with the next renewal. Whatever had released the run, its task started again, which the rule TWICE forbids, as the end is taken note of.

Change: such an end counts if its task is known, is not done, belongs to a job of this cell that has not ended, and is at no host, and if no lapse may have made the end void: by the same checks as for known runs, and only with a complete list of ends, which is not the rest of a list whose first part was void. An end as failed does not count: a successor may process it again, and the job would fail early.

Evidence: the new cases of runs_of_earlier_owners_test.cc and short_delegations_test.cc: the first fails without the change; one of the three sections with void ends (the rest of a long list, by the code) and the delegated task fail without the conditions. The other two sections and the cancelled job also pass without them.

--- a/src/libs/jobs/run_event.h
+++ b/src/libs/jobs/run_event.h
@@ -21,7 +21,7 @@
                       ///< report.
   kVoidByClock,       ///< The VM's clock shows that its lease had expired.
   kVoidByLapse,       ///< The VM lists a later end by an expired lease.
-  kUnknownEnd,  ///< The run belongs to no task; acknowledged all the same.
+  kUnknownEnd,        ///< The run is not known; acknowledged all the same.
   // The run no longer counts as executing:
   kReleasedByLease,    ///< The last lease of its VM has expired.
   kReleasedByRestart,  ///< Another incarnation or worker of the VM has
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -328,9 +328,15 @@
   /// Processes a row of the answer to a renewal that was sent at `sent`.
   void ProcessRunningRun(Vm& vm, const RunningRunReport& row, Millis sent,
                          Millis now);
-  /// `void_by`: why an end as done does not count; empty: it does.
+  /// Whether the end counts although its run is not known: it was released
+  /// before, or was never recorded.
+  static bool CountsWithoutRun(const Job* job, const Task* task,
+                               const EndedRunReport& row);
+  /// `void_by`: why an end as done does not count; empty: it does if its run is
+  /// known. `may_be_void`: a lapse that is not listed yet may make it void.
   void ProcessEndedRun(Vm& vm, const EndedRunReport& row,
-                       std::optional<RunEventKind> void_by, Millis now);
+                       std::optional<RunEventKind> void_by, bool may_be_void,
+                       Millis now);
   /// When a run whose stop the VM has confirmed, or that is missing from its
   /// reports, has ended at the latest.
   Millis StoppedBy(const Run& run) const;
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -58,11 +58,16 @@
   for (const EndedRunReport& row : report.ended) {
     if (row.number <= vm->last_end) continue;
     const bool before_lapse = !void_by && row.number < last_expiry;
-    ProcessEndedRun(*vm, row,
-                    before_lapse ? RunEventKind::kVoidByLapse : void_by, now);
+    const std::optional<RunEventKind> row_void_by =
+        before_lapse ? RunEventKind::kVoidByLapse : void_by;
+    const bool may_be_void =
+        row_void_by || report.may_have_more_ends || vm->may_list_void_ends;
+    ProcessEndedRun(*vm, row, row_void_by, may_be_void, now);
     vm->last_end = row.number;
     dirty_vms_[id] = row.number;
   }
+  vm->may_list_void_ends =
+      report.may_have_more_ends && (void_by || vm->may_list_void_ends);
   for (const RunningRunReport& row : report.running)
     ProcessRunningRun(*vm, row, sent, now);
   // A run in neither list may have ended nevertheless if an end is not listed.
@@ -89,6 +94,14 @@
          run < task->run_base + first_run_number_;
 }
 
+bool Scheduler::CountsWithoutRun(const Job* job, const Task* task,
+                                 const EndedRunReport& row) {
+  // It is acknowledged, so the task must not run again. The home cell of a
+  // guest job, or the host of a task, decides about the others.
+  return task && row.end == RunEnd::kDone && !job->IsGuest() &&
+         !task->IsElsewhere();
+}
+
 void Scheduler::ProcessRunningRun(Vm& vm, const RunningRunReport& row,
                                   Millis sent, Millis now) {
   Job* job = FindJob(row.task.job);
@@ -149,7 +162,7 @@
 
 void Scheduler::ProcessEndedRun(Vm& vm, const EndedRunReport& row,
                                 std::optional<RunEventKind> void_by,
-                                Millis now) {
+                                bool may_be_void, Millis now) {
   const RunKey key{row.task, row.run};
   const bool is_done = row.end == RunEnd::kDone;
   Job* job = FindJob(row.task.job);
@@ -167,11 +180,11 @@
   }
   if (task) ObserveEndForCopies(vm, *job, *task, row, run_time);
   const bool known = run || unjournaled;
+  const bool counts =
+      known || (!may_be_void && CountsWithoutRun(job, task, row));
   ReleaseRun(vm, row.task, row.run);
-  if (!known || IsFinal(job->record.status)) {
-    if (!known) NoteRun(RunEventKind::kUnknownEnd, vm, key, now, row.number);
-    return;
-  }
+  if (!known) NoteRun(RunEventKind::kUnknownEnd, vm, key, now, row.number);
+  if (!counts || IsFinal(job->record.status)) return;
   task->last_run = std::max(task->last_run, row.run);
   job->started = true;
   MarkProgressDirty(*job);
--- a/src/libs/jobs/vm_worker.h
+++ b/src/libs/jobs/vm_worker.h
@@ -30,6 +30,8 @@
   /// The lease has expired or the VM has restarted, so all its runs have been
   /// released. Reset by the VM's next report.
   bool lease_expired = false;
+  /// Ends that the VM has not listed yet may be from before its lease expired.
+  bool may_list_void_ends = false;
   int consecutive_failures = 0;
   Millis quarantined_until;
   Millis last_start_at;  ///< When a run was last started.
--- a/tests/auto/jobs/runs_of_earlier_owners_test.cc
+++ b/tests/auto/jobs/runs_of_earlier_owners_test.cc
@@ -69,3 +69,82 @@
                               {SchedulerFixture::MakeStep(1, 16'000)}));
   CHECK(fixture.Plan().empty());
 }
+
+namespace {
+
+/// "a" has had a run of a task that this owner has released, and reports again.
+struct ReleasedRun : SchedulerFixture {
+  ReleasedRun() {
+    AddVm("a");
+    Accept(kJob, MakeJob({MakeStep(1, 1'000)}));
+    const std::vector<RunCommand> commands = Plan();
+    REQUIRE(commands.size() == 1);
+    start = commands[0];
+    Answer(start, RunCommandOutcome::kRefused);
+    Flush();
+    REQUIRE(scheduler.RunsOf(kJob).empty());
+  }
+
+  /// Plans after the retry interval, on a VM that has not refused the task.
+  bool StartsAgain() {
+    Flush();
+    AddVm("b");
+    now = now + Millis(1'000);
+    return !PlanAndConfirm().empty();
+  }
+
+  RunCommand start;
+};
+
+}  // namespace
+
+// Guards against a task that runs again after an end as done that was
+// acknowledged.
+TEST_CASE("an end as done counts although its run was released before") {
+  ReleasedRun cell;
+  cell.Report("a", {}, {cell.MakeEnd(1, kTask, cell.start.run, RunEnd::kDone)});
+  CHECK_FALSE(cell.StartsAgain());
+  CHECK(cell.scheduler.VisibleStateOf(kJob) == VisibleJobState::kDone);
+  CHECK(cell.scheduler.EndToAcknowledge("a") == 1);
+}
+
+// Guards against a job that is shown as done by an end that its VM's lease has
+// made void.
+TEST_CASE("an end of a released run does not count if a lapse makes it void") {
+  ReleasedRun cell;
+  const EndedRunReport done =
+      cell.MakeEnd(1, kTask, cell.start.run, RunEnd::kDone);
+  SECTION("by the VM's list") {
+    cell.Report("a", {},
+                {done, cell.MakeEnd(2, {"x", 0, 0, 0}, 1, RunEnd::kLapsed)});
+  }
+  SECTION("by the last deadline") {
+    cell.scheduler.OnVmUnreachable("a", VmOutage::kSilent, cell.now);
+    cell.now = cell.now + Millis(60'000);
+    cell.Plan();
+    cell.Report("a", {}, {done});
+  }
+  SECTION("on the second page of a list") {
+    cell.scheduler.OnVmUnreachable("a", VmOutage::kSilent, cell.now);
+    cell.now = cell.now + Millis(60'000);
+    cell.Plan();
+    VmReport first;
+    first.clock_ms = cell.now.count;
+    first.worker_start_ms = 1'600'000'000'000;
+    first.ended = {cell.MakeEnd(1, {"x", 0, 0, 0}, 1, RunEnd::kDone)};
+    first.may_have_more_ends = true;
+    cell.scheduler.OnReport("a", first, cell.now, cell.now);
+    cell.Report("a", {},
+                {cell.MakeEnd(2, kTask, cell.start.run, RunEnd::kDone)});
+  }
+  CHECK(cell.StartsAgain());
+}
+
+// Guards against a cancelled job that is shown as done.
+TEST_CASE("an end as done of a cancelled job changes nothing") {
+  ReleasedRun cell;
+  cell.scheduler.Cancel(kJob, cell.wall_ms);
+  cell.Report("a", {}, {cell.MakeEnd(1, kTask, cell.start.run, RunEnd::kDone)});
+  cell.Flush();
+  CHECK(cell.scheduler.VisibleStateOf(kJob) == VisibleJobState::kCancelled);
+}
--- a/tests/auto/jobs/short_delegations_test.cc
+++ b/tests/auto/jobs/short_delegations_test.cc
@@ -354,3 +354,22 @@
   CHECK(!home.journal.contains(std::string("p") + kJob));
   CHECK(home.scheduler.VisibleStateOf(kJob) == VisibleJobState::kCancelled);
 }
+
+// Guards against a task that counts as done in its home cell while a host runs
+// it.
+TEST_CASE("an end that the home cell's VM lists of a delegated task") {
+  HomeFixture home;
+  const Delegation delegation = home.DelegateAll();
+  home.Report("a", {}, {home.MakeEnd(1, kFirst, 1, RunEnd::kDone)});
+  HostFixture host;
+  std::vector<RunCommand> others = host.HostAndStart(delegation);
+  REQUIRE(CountStarts(others) == kTasks);
+  std::erase_if(others, [](const RunCommand& c) { return c.task == kFirst; });
+  host.End(others, RunEnd::kDone);
+  host.Flush();
+  home.AddVm("b");
+  home.HandOver(host.Host(delegation));
+  home.Flush();
+  // The second step depends on all tasks of the first.
+  CHECK(CountStarts(home.Plan()) == 0);
+}
