--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -45,6 +45,7 @@
   if (!vm) return;
   if (!AcceptWorker(*vm, report, sent, now)) return;
   vm->reported_at = now;
+  if (sent > vm->address_changed_at) vm->answered_at_address = true;
   const bool expired_by_clock = vm->UpdateClock(report.clock_ms, sent, now);
   std::optional<RunEventKind> void_by;
   if (expired_by_clock) void_by = RunEventKind::kVoidByClock;
@@ -57,11 +58,16 @@
   for (const EndedRunReport& row : report.ended) {
     if (row.number <= vm->last_end) continue;
     const bool before_lapse = !void_by && row.number < last_expiry;
-    ProcessEndedRun(*vm, row,
-                    before_lapse ? RunEventKind::kVoidByLapse : void_by, now);
+    const std::optional<RunEventKind> row_void_by =
+        before_lapse ? RunEventKind::kVoidByLapse : void_by;
+    const bool may_be_void =
+        row_void_by || report.may_have_more_ends || vm->may_list_void_ends;
+    ProcessEndedRun(*vm, row, row_void_by, may_be_void, now);
     vm->last_end = row.number;
     dirty_vms_[id] = row.number;
   }
+  vm->may_list_void_ends =
+      report.may_have_more_ends && (void_by || vm->may_list_void_ends);
   for (const RunningRunReport& row : report.running)
     ProcessRunningRun(*vm, row, sent, now);
   // A run in neither list may have ended nevertheless if an end is not listed.
@@ -88,6 +94,14 @@
          run < task->run_base + first_run_number_;
 }
 
+bool Scheduler::CountsWithoutRun(const Job* job, const Task* task,
+                                 const EndedRunReport& row) {
+  // It is acknowledged, so the task must not run again. The home cell of a
+  // guest job, or the host of a task, decides about the others.
+  return task && row.end == RunEnd::kDone && !job->IsGuest() &&
+         !task->IsElsewhere();
+}
+
 void Scheduler::ProcessRunningRun(Vm& vm, const RunningRunReport& row,
                                   Millis sent, Millis now) {
   Job* job = FindJob(row.task.job);
@@ -148,7 +162,7 @@
 
 void Scheduler::ProcessEndedRun(Vm& vm, const EndedRunReport& row,
                                 std::optional<RunEventKind> void_by,
-                                Millis now) {
+                                bool may_be_void, Millis now) {
   const RunKey key{row.task, row.run};
   const bool is_done = row.end == RunEnd::kDone;
   Job* job = FindJob(row.task.job);
@@ -166,11 +180,11 @@
   }
   if (task) ObserveEndForCopies(vm, *job, *task, row, run_time);
   const bool known = run || unjournaled;
+  const bool counts =
+      known || (!may_be_void && CountsWithoutRun(job, task, row));
   ReleaseRun(vm, row.task, row.run);
-  if (!known || IsFinal(job->record.status)) {
-    if (!known) NoteRun(RunEventKind::kUnknownEnd, vm, key, now, row.number);
-    return;
-  }
+  if (!known) NoteRun(RunEventKind::kUnknownEnd, vm, key, now, row.number);
+  if (!counts || IsFinal(job->record.status)) return;
   task->last_run = std::max(task->last_run, row.run);
   job->started = true;
   MarkProgressDirty(*job);
@@ -241,14 +255,16 @@
                                  Millis now) {
   Vm* vm = FindVm(command.vm);
   if (!vm) return;
-  const bool from_present_worker = sent >= vm->known_since;
+  // Another incarnation answers with its own clock.
+  const bool from_present_worker =
+      sent >= vm->known_since && outcome != RunCommandOutcome::kRestarted;
   if (clock_ms > 0 && from_present_worker) vm->UpdateClock(clock_ms, sent, now);
   Task* task = FindTask(command.task);
   const RunKey key{command.task, command.run};
   Run* run = FindRun(key, command.vm);
   if (outcome == RunCommandOutcome::kRestarted) {
-    OnCommandToRestartedVm(*vm, command, run, sent, now);
-    return;
+    if (OnCommandToRestartedVm(*vm, command, run, sent, now)) return;
+    outcome = RunCommandOutcome::kUnknown;
   }
   if (!run) return;
   if (command.kind == RunCommandKind::kStop) {
