Take no run for ended that its VM has executed and lists no end of

What callers saw: nothing that was traced to this.

A VM lists the end of each run that it has executed. One that stops slowly lists neither the run nor its end, and executes it still; its task was started elsewhere.

Change: a run that the VM has executed counts as ended without a listed end only a lease later, so that a fault can't hold its task for good. A start that never took effect is released as before.

--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -340,6 +340,9 @@
   /// When a run whose stop the VM has confirmed, or that is missing from its
   /// reports, has ended at the latest.
   Millis StoppedBy(const Run& run) const;
+  /// When a run that no report lists any more has ended at the latest, although
+  /// its end was not listed.
+  Millis GoneBy(const Run& run) const;
   /// Updates a run that is missing from the report to a renewal that was sent
   /// at `sent`. Returns true if the run has certainly ended.
   bool UpdateAbsentRun(Run& run, Millis sent) const;
--- a/src/libs/jobs/scheduler_releases.cc
+++ b/src/libs/jobs/scheduler_releases.cc
@@ -18,10 +18,18 @@
   return run.confirmed_at + settings_.max_stop_duration + settings_.stop_margin;
 }
 
+Millis Scheduler::GoneBy(const Run& run) const {
+  // A VM lists the end of each run that it has executed. One that it lists
+  // neither as running nor as ended is still being stopped.
+  const bool was_executed = run.running_since > Millis(0);
+  return was_executed ? StoppedBy(run) + settings_.lease_duration
+                      : StoppedBy(run);
+}
+
 bool Scheduler::UpdateAbsentRun(Run& run, Millis sent) const {
   // A run that is being stopped is reported neither as running nor as ended
   // until it has stopped.
-  if (run.stop_confirmed) return sent > StoppedBy(run);
+  if (run.stop_confirmed) return sent > GoneBy(run);
   if (run.phase == RunPhase::kInDoubt && run.last_command_at == Millis(0)) {
     // A run of an earlier owner: it has ended or is being stopped.
     run.phase = RunPhase::kStopping;
@@ -32,7 +40,7 @@
   if (run.phase != RunPhase::kRunning || run.confirmed_at >= sent) return false;
   if (!run.absent) run.confirmed_at = sent;
   run.absent = true;
-  return sent > StoppedBy(run);
+  return sent > GoneBy(run);
 }
 
 bool Scheduler::UpdateAbsentOrphan(RunOnVm& run, Millis sent) const {
