Keep a move while submissions of the job are redirected

What callers would see: a job that two cells accept, whose tasks run twice, and reads of it that are answered as of no such job.

Cause: 120 s after a move, and again each 120 s, the home cell asks whether the job exists in the other cell, and drops the record of the move if it does not. That holds for the moment of the question only: a submission that was redirected before, while the other cell had no owner or was full, can be accepted there afterwards. Its repetition, after a lost answer, is then a new job for the home cell. An absence counts as evidence although something under way ends it.

Change: a redirected submission postpones the check by the same 120 s, and voids the answer to a check that is under way.

Measured: the new case passes; it fails if the redirection is not noted (4 of its checks).

--- a/src/libs/cell/cell_owner_requests.cc
+++ b/src/libs/cell/cell_owner_requests.cc
@@ -107,6 +107,8 @@
   const Millis deadline = Now() + Millis(request.timeout_ms);
   for (;;) {
     const std::optional<int> cell = scheduler_.Moved().CellOf(request.job);
+    if (cell && request.kind == RequestKind::kSubmit)
+      scheduler_.Moved().OnSubmissionRedirected(request.job, Now());
     if (cell) co_return JobReply{ReplyKind::kMoved, *cell};
     if (stopped_ || Now() >= deadline) co_return JobReply{ReplyKind::kInDoubt};
     co_await batch_durable_.Wait();
@@ -127,7 +129,9 @@
   const JobReply reply =
       co_await callbacks_.forward_request(std::move(request));
   if (stopped_ || draining_ || reply.kind != ReplyKind::kNoSuchJob) co_return;
-  scheduler_.Moved().Remove(*job);
+  // A submission that is under way would be accepted there, and its repetition
+  // by this cell.
+  if (!scheduler_.Moved().RemoveUnlessRedirected(*job)) co_return;
   batch_pending_.NotifyAll();
 }
 
--- a/src/libs/jobs/moved_jobs.cc
+++ b/src/libs/jobs/moved_jobs.cc
@@ -11,8 +11,19 @@
   jobs_[job] = {cell, /*durable=*/true, now};
 }
 
-void MovedJobs::Remove(const std::string& job) {
-  if (jobs_.erase(job) > 0) changed_.insert(job);
+void MovedJobs::OnSubmissionRedirected(const std::string& job, Millis now) {
+  const auto found = jobs_.find(job);
+  if (found == jobs_.end()) return;
+  found->second.checked_at = now;
+  found->second.redirected = true;
+}
+
+bool MovedJobs::RemoveUnlessRedirected(const std::string& job) {
+  const auto found = jobs_.find(job);
+  if (found == jobs_.end() || found->second.redirected) return false;
+  jobs_.erase(found);
+  changed_.insert(job);
+  return true;
 }
 
 std::optional<int> MovedJobs::CellOf(const std::string& job) const {
@@ -45,6 +56,7 @@
   for (auto& [job, move] : jobs_) {
     if (!move.durable || now - move.checked_at < interval) continue;
     move.checked_at = now;
+    move.redirected = false;
     return job;
   }
   return std::nullopt;
--- a/src/libs/jobs/moved_jobs.h
+++ b/src/libs/jobs/moved_jobs.h
@@ -22,8 +22,13 @@
   void Add(const std::string& job, int cell, Millis now);
   /// Restores a moved job from the journal.
   void Restore(const std::string& job, int cell, Millis now);
-  /// Removes a job that no longer exists in the other cell.
-  void Remove(const std::string& job);
+  /// A submission of the job is redirected to the other cell, and may arrive
+  /// there later.
+  void OnSubmissionRedirected(const std::string& job, Millis now);
+  /// Removes a job that did not exist in the other cell when it was last
+  /// checked, unless a submission has been redirected since then. Returns
+  /// whether the job was removed.
+  bool RemoveUnlessRedirected(const std::string& job);
 
   bool Contains(const std::string& job) const { return jobs_.contains(job); }
   /// The cell that the job was moved to, once the move is in the journal.
@@ -36,14 +41,16 @@
   void OnDurable(const JournalBatch& batch);
 
   /// Returns a job whose existence in the other cell has not been checked for
-  /// `interval`, and marks it as checked at `now`.
+  /// `interval`, with no submission redirected meanwhile, and marks it as
+  /// checked at `now`.
   std::optional<std::string> NextToCheck(Millis interval, Millis now);
 
  private:
   struct Move {
     int cell = 0;
     bool durable = false;
-    Millis checked_at;
+    Millis checked_at;       ///< Or when a submission was last redirected.
+    bool redirected = true;  ///< A submission, since the last check.
   };
   std::map<std::string, Move> jobs_;
   std::set<std::string> changed_;
--- a/tests/auto/jobs/moved_jobs_test.cc
+++ b/tests/auto/jobs/moved_jobs_test.cc
@@ -30,7 +30,7 @@
   CHECK(!moved.NextToCheck(kInterval, kNow + Millis(1'000)));
   CHECK(moved.NextToCheck(kInterval, kNow + kInterval) == kJob);
   CHECK(!moved.NextToCheck(kInterval, kNow + kInterval));
-  moved.Remove(kJob);
+  CHECK(moved.RemoveUnlessRedirected(kJob));
   JournalBatch batch;
   moved.TakeChanges(batch);
   REQUIRE(batch.entries.size() == 1);
@@ -47,3 +47,19 @@
   CHECK(fixture.journal.contains("m" + kJob));
   CHECK(!fixture.scheduler.HasBatch());
 }
+
+/// Guards against a job that its home cell and another cell accept: the other
+/// one did not have it yet when that was checked.
+TEST_CASE("a move stays while submissions of the job are redirected") {
+  MovedJobs moved;
+  moved.Restore(kJob, 3, kNow);
+  const Millis asked_at = kNow + kInterval;
+  REQUIRE(moved.NextToCheck(kInterval, asked_at) == kJob);
+  moved.OnSubmissionRedirected(kJob, asked_at);
+  CHECK(!moved.RemoveUnlessRedirected(kJob));
+  CHECK(moved.CellOf(kJob) == 3);
+  // The submission may be under way for long.
+  CHECK(!moved.NextToCheck(kInterval, asked_at + kInterval - Millis(1)));
+  CHECK(moved.NextToCheck(kInterval, asked_at + kInterval) == kJob);
+  CHECK(moved.RemoveUnlessRedirected(kJob));
+}
