Show on real processes that a cut-off owner starts tasks twice

The stand-ins: each entry has its own address of the store, and, where a test asks for it, other entries reach it through a relay, whose address replaces its own in what it appends to the store. Workers lose calls with fencing tokens outside a range. Workers report the progress of a run by its time; with 50 percent throughout, as before, the owner took each run of more than 4 s for stalled and moved it again and again.

--- a/tests/standins/worker_standin.cc
+++ b/tests/standins/worker_standin.cc
@@ -42,6 +42,13 @@
   running_.erase(found);
 }
 
+int WorkerStandin::PercentDone(const ActiveRun& run) const {
+  const std::int64_t duration =
+      std::max<std::int64_t>((run.ends_at - run.starts_at).count, 1);
+  return static_cast<int>(std::min<std::int64_t>(
+      100 * (Now() - run.starts_at).count / duration, 99));
+}
+
 void WorkerStandin::EndDueRuns() {
   const bool lease_expired = Now().count > deadline_ms_;
   std::vector<std::pair<std::string, std::string>> due_runs;
@@ -55,8 +62,22 @@
   for (const auto& [task, result] : due_runs) EndRun(task, result);
 }
 
+static std::int64_t TokenOf(const net::HttpRequest& request) {
+  const Json body = Json::parse(request.body, nullptr, false);
+  return body.is_object() ? body.value("fence", 0L) : 0L;
+}
+
 net::asio::awaitable<net::HttpResponse> WorkerStandin::HandleRequest(
     net::HttpRequest request) {
+  const std::int64_t token = TokenOf(request);
+  net::HttpResponse response = MakeReply(503, "");
+  if (!IsCutOffFrom(token)) response = co_await Handle(std::move(request));
+  if (IsCutOffFrom(token)) co_await net::Sleep(kNoResponseDelay);
+  co_return response;
+}
+
+net::asio::awaitable<net::HttpResponse> WorkerStandin::Handle(
+    net::HttpRequest request) {
   EndDueRuns();
   if (request.headers["Basilspur-Expect-Instance"] != id_) {
     co_return MakeReply(421, "");
@@ -136,7 +157,7 @@
   int cpu_millis = 0;
   numbers >> work_time.count >> cpu_millis;
   CheckStart(task, cpu_millis);
-  running_[task] = {run_number, Now() + work_time, fails, cpu_millis};
+  running_[task] = {run_number, Now(), Now() + work_time, fails, cpu_millis};
   ++histories_[task].starts_accepted;
   histories_[task].runs_on = this;
   return MakeReply(200, "");
@@ -172,7 +193,8 @@
                  {"running", Json::array()},
                  {"finished", Json::array()}};
   for (const auto& [task, run] : running_) {
-    answer["running"].push_back({task, run.run_number, "", 50, 0});
+    answer["running"].push_back(
+        {task, run.run_number, "", PercentDone(run), 0});
   }
   for (const EndedRun& end : ended_) {
     answer["finished"].push_back(
--- a/tests/standins/worker_standin.h
+++ b/tests/standins/worker_standin.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <utility>
@@ -49,10 +50,19 @@
   std::vector<std::string> violations;
   /// Starts runs, but responds only after the client has timed out.
   std::atomic<bool> drop_start_responses = false;
+  /// Calls with a lower or a higher fencing token are lost, as are the
+  /// responses to those that wait, as if the worker was cut off from their
+  /// owners.
+  std::atomic<std::int64_t> min_reachable_token = 0;
+  std::atomic<std::int64_t> max_reachable_token =
+      std::numeric_limits<std::int64_t>::max();
+
+  std::int64_t HighestToken() const { return highest_token_; }
 
  private:
   struct ActiveRun {
     int run_number = 0;
+    Millis starts_at;
     Millis ends_at;
     bool fails = false;
     int cpu_millis = 0;
@@ -69,6 +79,7 @@
   Millis Now() const { return clock_.Monotonic(); }
   /// Ends the runs whose work is finished or whose lease has expired.
   void EndDueRuns();
+  int PercentDone(const ActiveRun& run) const;
   /// Does nothing if the task is not running.
   void EndRun(const std::string& task, const std::string& result);
   /// Notes what the start of a run with this payload violates.
@@ -77,6 +88,10 @@
   void ExtendLease(std::int64_t deadline_ms);
   /// Removes the ends up to this number.
   void AcknowledgeEnds(std::int64_t last_seen);
+  bool IsCutOffFrom(std::int64_t token) const {
+    return token < min_reachable_token || token > max_reachable_token;
+  }
+  net::asio::awaitable<net::HttpResponse> Handle(net::HttpRequest request);
   // Handlers of one kind of request each; `body` is its JSON.
   net::HttpResponse Start(const std::string& body);
   net::HttpResponse Stop(const std::string& body);
--- a/tests/system/platform_deployment.cc
+++ b/tests/system/platform_deployment.cc
@@ -22,6 +22,8 @@
 static constexpr Millis kCallTimeout(4'000);
 static constexpr std::chrono::milliseconds kPollInterval(20);
 static constexpr int kMaxPolls = 500;
+/// Delay of a response that counts as lost: longer than any client's time-out.
+static constexpr Millis kNoResponseDelay(10'000);
 
 static std::string MakeTemporaryFolder() {
   const char* parent = std::getenv("TMPDIR");
@@ -36,15 +38,20 @@
   return fakes::FreeAddress(fakes::ProcessLoopbackIp());
 }
 
-PlatformDeployment::PlatformDeployment(int entries, int workers, int cells)
+PlatformDeployment::PlatformDeployment(int entries, int workers, int cells,
+                                       bool relay_peers)
     : cells_(cells),
+      peer_client_(context_),
       temporary_folder_(MakeTemporaryFolder()),
       entries_(entries),
       starts_(entries) {
-  store_address_ = FreeAddress();
-  net::ServeHttp(context_, store_address_, [this](net::HttpRequest request) {
-    return store.HandleRequest(std::move(request));
-  });
+  for (int i = 0; i < entries; ++i) {
+    store_addresses_.push_back(FreeAddress());
+    net::ServeHttp(context_, store_addresses_.back(),
+                   [this, i](net::HttpRequest request) {
+                     return ServeStore(i, std::move(request));
+                   });
+  }
   for (int i = 0; i < workers; ++i) {
     this->workers.push_back(std::make_unique<standins::WorkerStandin>(
         "i-" + std::to_string(i), histories));
@@ -62,7 +69,13 @@
   PublishWorkerEntries();
   if (cells > 1) PublishLayout();
   for (int i = 0; i < entries; ++i) {
-    addresses_.push_back({FreeAddress(), FreeAddress(), FreeAddress()});
+    addresses_.push_back({FreeAddress(), FreeAddress(), FreeAddress(), ""});
+    if (!relay_peers) continue;
+    addresses_.back().peers_relay = FreeAddress();
+    net::ServeHttp(context_, addresses_.back().peers_relay,
+                   [this, i](net::HttpRequest request) {
+                     return ServePeer(i, std::move(request));
+                   });
   }
   thread_ = std::thread([this] { context_.run(); });
   for (int i = 0; i < entries; ++i) StartEntry(i);
@@ -118,7 +131,8 @@
            << "port_range = [" << port << ", " << port + 1 << "]\n"
            << "[listen]\nfront = \"" << addresses.caller_api << "\"\nready = \""
            << addresses.readiness << "\"\n[platform]\naddress = \""
-           << store_address_ << "\"\n[bounds]\ngrace_s = " << grace_s << "\n";
+           << store_addresses_[entry] << "\"\n[bounds]\ngrace_s = " << grace_s
+           << "\n";
   settings.close();
   ++starts_[entry];
   entries_[entry] = std::make_unique<Process>(
@@ -126,6 +140,52 @@
       LogPath(entry));
 }
 
+/// Replaces an address by another one of the same length, which keeps the
+/// lengths in encoded records right.
+static void ReplaceAddress(std::string& body, const std::string& from,
+                           const std::string& to) {
+  for (auto at = body.find(from); at != std::string::npos;
+       at = body.find(from, at + from.size())) {
+    body.replace(at, from.size(), to);
+  }
+}
+
+net::asio::awaitable<net::HttpResponse> PlatformDeployment::ServeStore(
+    int entry, net::HttpRequest request) {
+  const Addresses& addresses = addresses_[entry];
+  if (!addresses.peers_relay.empty())
+    ReplaceAddress(request.body, addresses.peers, addresses.peers_relay);
+  net::HttpResponse response;
+  response.status = 503;
+  if (!cut_off_.contains(entry))
+    response = co_await store.HandleRequest(std::move(request));
+  if (cut_off_.contains(entry)) co_await net::Sleep(kNoResponseDelay);
+  co_return response;
+}
+
+net::asio::awaitable<net::HttpResponse> PlatformDeployment::ServePeer(
+    int entry, net::HttpRequest request) {
+  net::HttpResponse response;
+  response.status = 503;
+  if (!cut_off_.contains(entry)) {
+    auto answer = co_await peer_client_.Call(addresses_[entry].peers,
+                                             std::move(request), kCallTimeout);
+    if (IsOk(answer)) response = ValueOf(std::move(answer));
+  }
+  if (cut_off_.contains(entry)) co_await net::Sleep(kNoResponseDelay);
+  co_return response;
+}
+
+void PlatformDeployment::SetCutOff(int entry, bool cut) {
+  RunOnStandins([&] {
+    if (cut) {
+      cut_off_.insert(entry);
+    } else {
+      cut_off_.erase(entry);
+    }
+  });
+}
+
 void PlatformDeployment::RunOnStandins(const std::function<void()>& function) {
   std::promise<void> done;
   net::asio::post(context_, [&] {
--- a/tests/system/platform_deployment.h
+++ b/tests/system/platform_deployment.h
@@ -5,11 +5,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "cell/peer_messages.h"
+#include "net/http_client.h"
 #include "standins/store_standin.h"
 #include "standins/worker_standin.h"
 #include "system/process.h"
@@ -21,8 +23,10 @@
 class PlatformDeployment {
  public:
   /// With several cells, workers are assigned to them in turn, and each job has
-  /// its home cell by its id.
-  PlatformDeployment(int entries, int workers, int cells = 1);
+  /// its home cell by its id. `relay_peers`: entries call each other through
+  /// this process, so that they can be cut off from each other.
+  PlatformDeployment(int entries, int workers, int cells = 1,
+                     bool relay_peers = false);
   ~PlatformDeployment();
 
   /// Starts an entry, or restarts one that has exited. `grace_s` is the
@@ -71,6 +75,10 @@
   /// Holds the log of each process that was started, one file each. It stays
   /// after the destruction, unless the caller removes it.
   const std::string& LogFolder() const { return temporary_folder_; }
+  /// Whether the entry's calls to the store, and other entries' calls to the
+  /// entry, are lost, as are the responses to those that wait. Precondition:
+  /// peers are relayed.
+  void SetCutOff(int entry, bool cut);
   /// Runs a function on the thread of the stand-ins and waits for its end.
   void RunOnStandins(const std::function<void()>& function);
 
@@ -79,6 +87,11 @@
   std::map<std::string, standins::TaskHistory> histories;
 
  private:
+  net::asio::awaitable<net::HttpResponse> ServeStore(int entry,
+                                                     net::HttpRequest request);
+  /// Passes on what another entry calls.
+  net::asio::awaitable<net::HttpResponse> ServePeer(int entry,
+                                                    net::HttpRequest request);
   void PublishWorkerEntries();
   void PublishLayout();
   std::string LogPath(int entry) const;
@@ -86,13 +99,16 @@
 
   int cells_;
   net::asio::io_context context_;
-  std::string store_address_;
+  net::HttpClient peer_client_;
+  std::vector<std::string> store_addresses_;  ///< By entry.
+  std::set<int> cut_off_;  ///< On the thread of the stand-ins.
   std::vector<std::string> worker_addresses_;
   std::string temporary_folder_;
   struct Addresses {
     std::string caller_api;
     std::string readiness;
     std::string peers;
+    std::string peers_relay;  ///< Empty if other entries call directly.
   };
   std::vector<Addresses> addresses_;
   std::vector<std::unique_ptr<Process>> entries_;
