End an ownership on reading the release of a later one

Cause: an entry that reads only the newest owner record, as after an append that is not confirmed, does not see the claims in between. If its successor had released the cell by then, Election::OnRecord kept the old ownership, since the release carries another token. So a former owner, without the store for some seconds, renewed its old ownership, or released the cell once more with a record of its own, and its record became the newest one. It names VMs as unreachable with the ends of leases that the former owner knew. Owners since then have renewed these leases. The next owner takes them for expired, and starts the VMs' runs again.

Change: each record that releases the cell ends this node's ownership, whichever token it carries.

Both new unit tests fail without the change: a former owner renews three times under its old token after the release of its successor.

--- a/src/libs/cell/election.cc
+++ b/src/libs/cell/election.cc
@@ -34,7 +34,9 @@
     former_owners_ = record.former_owners;
     handed_over_ = true;
     vacated_journal_complete_ = record.journal_complete;
-    if (token == token_) token_ = -1;
+    // Another token's release says that this node was replaced before: the
+    // replacing claim may be missed where only the newest record is read.
+    token_ = -1;
     return true;
   }
   if (token != token_) former_owners_ = record.former_owners;
--- a/tests/auto/cell/cell_member_test.cc
+++ b/tests/auto/cell/cell_member_test.cc
@@ -306,3 +306,32 @@
   CHECK(!fixture.member->Owns());
   CHECK(fixture.NewestRecord().vacant);
 }
+
+/// Guards against a former owner that goes on under its token, and replaces
+/// what its successors have recorded of leases, since it has missed their
+/// claims: it read the newest record alone, which released the cell.
+TEST_CASE("an owner that reads a later owner's release has lost the cell") {
+  CellMemberFixture fixture;
+  fixture.BecomeOwner();
+  REQUIRE(fixture.member->Owns());
+  fixture.PumpFor(Millis(30));
+  const std::int64_t token = fixture.member->KnownOwner()->token;
+  fixture.store.watchers_cut = true;
+  OwnerRecord released = CellMemberFixture::MakeRecord("b");
+  released.token = fixture.AppendClaimOf("b");
+  released.vacant = true;
+  const std::int64_t release = fixture.AppendRecord(released);
+  SECTION("it renews its ownership") {
+    fixture.TickFor(kSettings.renewal_interval * 3);
+  }
+  SECTION("it hands the cell over") {
+    net::asio::co_spawn(fixture.context, fixture.member->Yield(Millis(15'000)),
+                        net::asio::detached);
+    fixture.PumpFor(Millis(500));
+  }
+  const auto& log = fixture.store.Records(fixture.partition);
+  for (auto at = static_cast<std::size_t>(release); at < log.size(); ++at) {
+    if (log[at].key != "owner") continue;
+    CHECK(ValueOf(records::Decode<OwnerRecord>(log[at].value)).token != token);
+  }
+}
--- a/tests/auto/cell/election_test.cc
+++ b/tests/auto/cell/election_test.cc
@@ -271,3 +271,19 @@
       kNow + kSettings.successor_head_start + kSettings.campaign_jitter;
   CHECK(other.ShouldCampaign(0, latest));
 }
+
+/// Guards against an ownership that outlasts its successor, whose claim was not
+/// read.
+TEST_CASE("the release of a later ownership ends an ownership") {
+  Election a = MakeElection("a");
+  Election b = MakeElection("b");
+  a.OnEnd(0, kNow);
+  a.OnRecord(a.MakeClaimRecord("a:1", kNow), 0, kNow);
+  REQUIRE(a.Owns());
+  b.OnEnd(1, kNow);
+  b.OnRecord(b.MakeClaimRecord("b:1", kNow), 1, kNow);
+  OwnerRecord vacant = b.MakeRenewalRecord("b:1");
+  vacant.vacant = true;
+  a.OnRecord(vacant, 2, kNow);
+  CHECK(!a.Owns());
+}
