--- a/src/libs/jobs/scheduler_releases.cc
+++ b/src/libs/jobs/scheduler_releases.cc
@@ -19,8 +19,8 @@
 }
 
 Millis Scheduler::GoneBy(const Run& run) const {
-  // A VM lists the end of each run that it has executed. One that it lists
-  // neither as running nor as ended is still being stopped.
+  // A VM lists a run that it executes, and its end afterwards. Without either,
+  // only a start that never took effect counts as over soon.
   const bool was_executed = run.running_since > Millis(0);
   return was_executed ? StoppedBy(run) + settings_.lease_duration
                       : StoppedBy(run);
@@ -29,7 +29,7 @@
 bool Scheduler::UpdateAbsentRun(Run& run, Millis sent) const {
   // A run that is being stopped is reported neither as running nor as ended
   // until it has stopped.
-  if (run.stop_confirmed) return sent > GoneBy(run);
+  if (run.stop_confirmed) return sent > StoppedBy(run);
   if (run.phase == RunPhase::kInDoubt && run.last_command_at == Millis(0)) {
     // A run of an earlier owner: it has ended or is being stopped.
     run.phase = RunPhase::kStopping;
