--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -300,7 +300,7 @@
   /// Returns whether a call may be sent to a VM now. Stops the owner if its
   /// ownership has expired.
   bool CheckMayAct();
-  /// Tells the scheduler since when another node may have claimed the cell.
+  /// Passes on to the scheduler when the ownership was last confirmed.
   void ConfirmOwnership();
   /// The cell and the fencing token as log fields, with a leading space.
   std::string LogFields() const;
--- a/src/libs/jobs/restored_job.h
+++ b/src/libs/jobs/restored_job.h
@@ -7,7 +7,7 @@
 
 namespace basilspur::jobs {
 
-/// What the journal told a new owner of a job that had not ended.
+/// A job that had not ended, as a new owner restored it from the journal.
 ///
 /// Thread safety: a plain value.
 struct RestoredJob {
