Log the VMs and runs that an owner waits for

What was missing: a quiet owner's log did not say which runs it holds although no VM has reported them, nor by which evidence and when it will release them. cell_state counts such runs like all others.

vms_awaited lists the VMs without a report for 3 s: what is awaited, runs, age of the last report, time left of the lease, and whether starts of earlier owners' jobs wait for them. runs_unreported lists runs on VMs that answer and have confirmed nothing about them. Both once a second, at most 60 items.

No logic is changed. 248 cases of test_jobs and 115 of test_cell pass.

--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -49,11 +49,15 @@
   Millis summary_log_interval{2'000};
   /// Shortest interval of the log lines about runs.
   Millis run_log_interval{250};
-  /// Interval of the "long_running_waiting" log lines, their maximum number at
-  /// a time, and how long a task has to be without a run.
+  /// Interval of the "long_running_waiting", "vms_awaited" and
+  /// "runs_unreported" log lines, the maximum number of tasks at a time, and
+  /// how long a task has to be without a run.
   Millis wait_log_interval{1'000};
   std::size_t max_logged_waits = 6;
   Millis min_logged_wait{1'000};
+  /// Age from which a report counts as missing in these lines and in
+  /// "cell_state". A VM without runs may hold a renewal for 2 s.
+  Millis missing_report_age{3'000};
   /// Pause before a renewal that was not answered is repeated.
   Millis renewal_retry_interval{150};
   /// Upper bound of the keys and values in one append, unless a single record
@@ -240,6 +244,9 @@
   /// Logs what was concluded about runs since the last call.
   void LogRunEvents();
   void LogRestoredJobs() const;
+  /// Logs which runs count as executing although no recent report names them,
+  /// and what this owner waits for.
+  void LogAwaitedRuns() const;
   void LogCopies();
   void LogPreemptions();
   net::asio::awaitable<void> WaitForDurableEnds(std::string id);
--- a/src/libs/cell/cell_owner_runs.cc
+++ b/src/libs/cell/cell_owner_runs.cc
@@ -1,14 +1,20 @@
+#include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/logging.h"
 #include "cell/cell_owner.h"
+#include "jobs/awaited_vm.h"
+#include "jobs/unreported_run.h"
 
 namespace basilspur::cell {
 
 static constexpr LogCategory kLog("cell");
 /// Leaves room for the fields before the list in a line of the log.
 static constexpr std::size_t kMaxListBytes = 3'400;
+/// A run or VM takes about 100 bytes, so that a list fits into two lines.
+static constexpr std::size_t kMaxAwaitedItems = 60;
 
 /// Writes "FIELDS LIST=ITEM,ITEM…", in several lines if there are many items.
 static void LogList(const std::string& fields, const char* list,
@@ -51,4 +57,29 @@
           "jobs", jobs);
 }
 
+/// Returns "count=… left_out=…" and the first items of a list as text.
+template <class Item>
+static std::pair<std::string, std::vector<std::string>> FirstOf(
+    const std::vector<Item>& items) {
+  const std::size_t kept = std::min(items.size(), kMaxAwaitedItems);
+  std::vector<std::string> texts;
+  for (std::size_t i = 0; i < kept; ++i) texts.push_back(items[i].ToString());
+  return {" count=" + std::to_string(items.size()) +
+              " left_out=" + std::to_string(items.size() - kept),
+          std::move(texts)};
+}
+
+void CellOwner::LogAwaitedRuns() const {
+  const Millis min_age = settings_.missing_report_age;
+  const auto [vm_fields, vms] = FirstOf(scheduler_.AwaitedVms(min_age, Now()));
+  LogList("event=vms_awaited" + LogFields() + vm_fields + " starts_held=" +
+              std::to_string(scheduler_.HasCompleteRunState() ? 0 : 1) +
+              " predecessors_stopped=" +
+              std::to_string(predecessors_stopped_ ? 1 : 0),
+          "vms", vms);
+  const auto [run_fields, runs] =
+      FirstOf(scheduler_.UnreportedRuns(min_age, Now()));
+  LogList("event=runs_unreported" + LogFields() + run_fields, "runs", runs);
+}
+
 }  // namespace basilspur::cell
--- a/src/libs/cell/cell_owner_waits.cc
+++ b/src/libs/cell/cell_owner_waits.cc
@@ -53,6 +53,7 @@
 void CellOwner::LogLongRunningWaits() {
   if (!ready_ || Now() - last_wait_log_ < settings_.wait_log_interval) return;
   last_wait_log_ = Now();
+  LogAwaitedRuns();
   for (const jobs::LongRunningWait& wait : scheduler_.LongRunningWaits(
            settings_.min_logged_wait, settings_.max_logged_waits, Now())) {
     const std::string_view hold =
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -45,6 +45,10 @@
 
 namespace basilspur::jobs {
 
+enum class VmWait;
+struct AwaitedVm;
+struct UnreportedRun;
+
 /// Result of submitting a job.
 enum class SubmitResult { kNew, kAlreadyExists, kTooManyJobs };
 
@@ -274,6 +278,12 @@
   std::vector<LongRunningWait> LongRunningWaits(Millis min_age,
                                                 std::size_t max_count,
                                                 Millis now) const;
+  /// Returns the VMs that have runs, or may have runs of earlier owners, and
+  /// have not reported for `min_age`.
+  std::vector<AwaitedVm> AwaitedVms(Millis min_age, Millis now) const;
+  /// Returns the runs on reachable VMs about which these have confirmed nothing
+  /// for `min_age` and which they do not list, long-running tasks first.
+  std::vector<UnreportedRun> UnreportedRuns(Millis min_age, Millis now) const;
   /// Model of tail latencies and of the images that raise them.
   TailController& Tails() { return tails_; }
   const TailController& Tails() const { return tails_; }
@@ -390,6 +400,7 @@
   /// VMs to others.
   bool MayIsolateVm(Millis now) const;
   void ProcessExpiredLeases(Millis now);
+  VmWait WaitOf(const Vm& vm, Millis now) const;
   /// Up to when this owner knows that no other one has extended a lease.
   Millis SoleOwnerUntil(Millis now) const;
   void ApplyDone(Job& job, const TaskRef& ref);
