Bound the leases of a predecessor that never answers

What callers saw: long-running tasks without a run for 17.6 s after a change of owner, and for as long no start of any task of earlier owners' jobs.

Cause: a new owner released the runs of a VM that it did not reach only 17.5 s after it took over, unless its predecessor confirmed that it had stopped: an owner acts for up to 12 s without the store, and a lease lasts 5 s. A machine that is gone for good never confirms that.

The store's record no longer names such a predecessor after that, and requests to step down end.

Without the store and without most VMs an owner's leases now end earlier: it can't be told from one that is cut off.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -147,6 +147,13 @@
            !self->election_.IsExpired(self->clock_.Monotonic());
   };
   standing.confirmed_at = [self] { return self->election_.LastConfirmed(); };
+  standing.renewed_at = [self] { return self->election_.LastRenewalSent(); };
+  standing.active_predecessors = [self] {
+    return self->election_.FormerOwners().size();
+  };
+  standing.on_predecessors_stopped = [self] {
+    self->election_.OnFormerOwnersStopped();
+  };
   standing.on_ended = [self, token = owner_token_] {
     if (self->owner_token_ != token) return;
     self->election_.StepDown();
@@ -175,7 +182,7 @@
     request.token = token;
     const JobReply reply = co_await callbacks_.call_peer(
         former.address, request, kStepDownTimeout);
-    if (owner_token_ != token) co_return;
+    if (owner_token_ != token || !election_.IsFormerOwner(former)) co_return;
     stopped = reply.kind == ReplyKind::kSteppedDown;
     if (!stopped) co_await net::Sleep(kStepDownRetryInterval);
   }
--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -74,6 +74,7 @@
 
 void CellOwner::ConfirmOwnership() {
   scheduler_.ConfirmOwnership(standing_.confirmed_at());
+  scheduler_.OnOwnershipRenewed(standing_.renewed_at());
 }
 
 void CellOwner::Start() {
@@ -156,6 +157,24 @@
   return scheduler_.CollectUnreachableVms(Now());
 }
 
+void CellOwner::BoundSilentPredecessor() {
+  if (predecessors_stopped_) return;
+  if (predecessor_stops_by_) {
+    if (Now() < *predecessor_stops_by_) return;
+    predecessors_stopped_ = true;
+    standing_.on_predecessors_stopped();
+    return;
+  }
+  const std::optional<Millis> stops_by = scheduler_.PredecessorStopsBy();
+  // Of several ones, an earlier one has judged by the VMs that the journal
+  // listed before the later ones changed it.
+  if (!stops_by || standing_.active_predecessors() > 1) return;
+  predecessor_stops_by_ = std::max(*stops_by, Now());
+  scheduler_.BoundInheritedLeases(*predecessor_stops_by_);
+  kLog.Info("event=predecessor_fenced" + LogFields() + " stops_in_ms=" +
+            std::to_string((*predecessor_stops_by_ - Now()).count));
+}
+
 void CellOwner::OnPredecessorsStopped() {
   predecessors_stopped_ = true;
   scheduler_.BoundInheritedLeases(Now());
@@ -175,6 +194,7 @@
     last_moved_job_check_ = Now();
     net::Spawn(context_, CheckMovedJob(shared_from_this()), "moved_job_check");
   }
+  if (ready_) BoundSilentPredecessor();
   LogLongRunningWaits();
   if (Now() - last_run_log_ >= settings_.run_log_interval) LogRunEvents();
   if (!ready_ || Now() - last_summary_log_ < settings_.summary_log_interval)
@@ -242,17 +262,23 @@
 }
 
 bool CellOwner::CheckMayStart() {
-  const bool held = callbacks_.may_start && !callbacks_.may_start();
+  const bool reads_late = callbacks_.may_start && !callbacks_.may_start();
+  const bool held = reads_late || !scheduler_.MayExtendLeases(Now());
   if (held == starts_held_) return !held;
   starts_held_ = held;
   const std::string fields =
       LogFields() +
       (callbacks_.knowledge_age ? callbacks_.knowledge_age() : "");
-  if (held) {
+  if (reads_late) {
     kLog.Warning(
         "event=starts_held reason=\"the list of VMs or the operators' orders "
         "were read too long ago; tasks wait until they are read again\"" +
         fields);
+  } else if (held) {
+    kLog.Warning(
+        "event=starts_held reason=\"the ownership was not renewed and less "
+        "than half of the VMs answer; tasks wait and no lease is extended\"" +
+        fields);
   } else {
     kLog.Info("event=starts_resumed" + fields);
     SchedulePlan();
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -58,6 +58,11 @@
   /// Age from which a report counts as missing in these lines and in
   /// "cell_state". A VM without runs may hold a renewal for 2 s.
   Millis missing_report_age{3'000};
+  /// The longest of these waits while the renewal of the ownership is overdue,
+  /// so that the answers show which VMs are reached: see jobs::LeaseAuthority.
+  Millis overdue_renewal_wait{500};
+  /// Age of the ownership's last renewal from which the next one is overdue.
+  Millis overdue_renewal_age{1'200};
   /// Pause before a renewal that was not answered is repeated.
   Millis renewal_retry_interval{150};
   /// Upper bound of the keys and values in one append, unless a single record
@@ -152,6 +157,13 @@
     std::function<bool()> may_act;
     /// When no other node had claimed the cell yet.
     std::function<Millis()> confirmed_at;
+    /// When the newest stored renewal of this ownership, or its claim, was
+    /// sent.
+    std::function<Millis()> renewed_at;
+    /// Number of earlier owners that have not confirmed that they have stopped.
+    std::function<std::size_t()> active_predecessors;
+    /// Called when none of them extends leases any more.
+    std::function<void()> on_predecessors_stopped;
     /// Called when the owner has stopped itself, because `may_act` returned
     /// false, or the store or a VM has rejected its fencing token as outdated.
     std::function<void()> on_ended;
@@ -297,6 +309,7 @@
   void LogJobEnds(const jobs::JournalBatch& batch);
   JobReply StatusOf(const std::string& job) const;
   Millis RenewalWait(const std::string& vm) const;
+  Millis RenewalWaitFor(jobs::VmLoad load) const;
   void SchedulePlan();
   void NotifyJournalWriter();
   void RunPlan();
@@ -307,6 +320,9 @@
   /// Returns whether a call may be sent to a VM now. Stops the owner if its
   /// ownership has expired.
   bool CheckMayAct();
+  /// Bounds the leases of a predecessor that does not answer, once most VMs
+  /// have answered this owner.
+  void BoundSilentPredecessor();
   /// Passes on to the scheduler when the ownership was last confirmed.
   void ConfirmOwnership();
   /// The cell and the fencing token as log fields, with a leading space.
@@ -353,6 +369,8 @@
   bool recalls_are_clear_ = false;
   bool reading_recalls_ = false;
   bool predecessors_stopped_ = false;
+  /// When a predecessor that does not answer extends no lease any more.
+  std::optional<Millis> predecessor_stops_by_;
   bool plan_scheduled_ = false;
   bool ready_ = false;
   bool draining_ = false;
--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -106,7 +106,14 @@
 }
 
 Millis CellOwner::RenewalWait(const std::string& vm) const {
-  switch (scheduler_.LoadOf(vm)) {
+  const bool overdue =
+      Now() - standing_.renewed_at() >= settings_.overdue_renewal_age;
+  const Millis wait = RenewalWaitFor(scheduler_.LoadOf(vm));
+  return overdue ? std::min(wait, settings_.overdue_renewal_wait) : wait;
+}
+
+Millis CellOwner::RenewalWaitFor(jobs::VmLoad load) const {
+  switch (load) {
     case jobs::VmLoad::kIdle:
       return settings_.idle_renewal_wait;
     case jobs::VmLoad::kBusy:
--- a/src/libs/cell/election.cc
+++ b/src/libs/cell/election.cc
@@ -135,6 +135,11 @@
   std::erase(former_owners_, owner);
 }
 
+bool Election::IsFormerOwner(const FormerOwner& owner) const {
+  return std::find(former_owners_.begin(), former_owners_.end(), owner) !=
+         former_owners_.end();
+}
+
 OwnerRecord Election::MakeRecord(const std::string& address) const {
   OwnerRecord record;
   record.node = node_;
--- a/src/libs/cell/election.h
+++ b/src/libs/cell/election.h
@@ -90,6 +90,8 @@
 
   /// No other node had claimed the cell by then. Precondition: Owns().
   Millis LastConfirmed() const { return last_confirmed_; }
+  /// When the newest stored renewal, or the claim, was sent.
+  Millis LastRenewalSent() const { return last_renewal_sent_; }
 
   std::int64_t Token() const { return token_; }
   std::int64_t Term() const { return term_; }
@@ -107,6 +109,10 @@
   void ClearOverloadReleases() { overload_releases_ = 0; }
   /// The former owner has stopped acting as one.
   void OnFormerOwnerStopped(const FormerOwner& owner);
+  /// No previous owner acts any more.
+  void OnFormerOwnersStopped() { former_owners_.clear(); }
+  /// Whether it is one of FormerOwners.
+  bool IsFormerOwner(const FormerOwner& owner) const;
   /// Returns whether no former owner could act any more when this ownership
   /// began: the previous one had released the cell itself, or there was none.
   bool WasHandedOver() const { return handed_over_; }
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -14,7 +14,8 @@
       placer_(tails_, closures_, run_times_),
       delegation_policy_(settings_),
       backfill_(placer_, run_times_, settings.max_planned_starts),
-      delegations_sent_(settings_) {}
+      delegations_sent_(settings_),
+      lease_authority_(settings.lease_authority) {}
 
 Scheduler::~Scheduler() = default;
 
@@ -107,6 +108,8 @@
   vm.last_end = vm.durable_end = record.last_end;
   vm.SetWorkerStart(record.worker_start_ms);
   vm.in_journal = true;
+  vm.restored = true;
+  lease_authority_.OnVmRestored();
 }
 
 void Scheduler::FinishRestore(int first_run_number, Millis now) {
@@ -114,9 +117,9 @@
   ProcessExpiredLeases(now);
 }
 
-void Scheduler::BoundInheritedLeases(Millis now) {
+void Scheduler::BoundInheritedLeases(Millis stopped_by) {
   const Millis lease_expiry =
-      now + settings_.lease_duration + settings_.lease_clock_drift;
+      stopped_by + settings_.lease_duration + settings_.lease_clock_drift;
   for (auto& [id, vm] : vms_) vm->BoundInheritedLease(lease_expiry);
 }
 
@@ -261,6 +264,7 @@
     batch.ends[vm] = {known.worker_start_ms, end};
   }
   moved_.TakeChanges(batch);
+  lease_authority_.OnBatchTaken();
   urgent_changes_ = false;
   dirty_vms_.clear();
   return batch;
@@ -268,6 +272,7 @@
 
 void Scheduler::OnDurable(const JournalBatch& batch) {
   durable_batches_ = batch.number;
+  lease_authority_.OnBatchDurable();
   for (const auto& [id, state] : batch.jobs) {
     Job* job = FindJob(id);
     if (!job) continue;
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -24,6 +24,7 @@
 #include "jobs/journal_batch.h"
 #include "jobs/known_run.h"
 #include "jobs/late_job_order.h"
+#include "jobs/lease_authority.h"
 #include "jobs/long_running_wait.h"
 #include "jobs/moved_jobs.h"
 #include "jobs/placer.h"
@@ -104,9 +105,9 @@
   /// Completes the restoring. New runs of restored jobs are numbered from
   /// `first_run_number`.
   void FinishRestore(int first_run_number, Millis now);
-  /// Earlier owners have stopped renewing leases by `now`, so their leases end
-  /// at most one lease duration, plus the clock drift, later.
-  void BoundInheritedLeases(Millis now);
+  /// Earlier owners extend no lease after `stopped_by`, so their leases end at
+  /// most one lease duration, plus the clock drift, later.
+  void BoundInheritedLeases(Millis stopped_by);
   /// The newest owner record bounds the VM's lease to
   /// `unreachable.lease_expiry`; no owner extends it beyond that.
   void BoundLeaseExpiry(const UnreachableVm& unreachable);
@@ -120,7 +121,18 @@
   /// No other owner had claimed the cell by `at`, so none has extended a lease
   /// before. Leases that end later do not count as expired yet. Until the first
   /// call, this owner counts as the only one.
-  void ConfirmOwnership(Millis at) { ownership_confirmed_at_ = at; }
+  void ConfirmOwnership(Millis at) { lease_authority_.OnConfirmed(at); }
+  /// The renewal of the ownership that was sent at `at` is stored. Until the
+  /// first call, this owner counts as the only one.
+  void OnOwnershipRenewed(Millis at) { lease_authority_.OnRenewed(at); }
+  /// Whether leases may be extended, and so runs be started: see
+  /// LeaseAuthority.
+  bool MayExtendLeases(Millis now) const;
+  /// Returns from when on a single predecessor that may still act extends no
+  /// lease; empty: not known yet.
+  std::optional<Millis> PredecessorStopsBy() const {
+    return lease_authority_.PredecessorStopsBy();
+  }
   /// Whether runs wait for a confirmation of the ownership that is newer than
   /// the end of their VM's lease.
   bool AwaitsConfirmation(Millis now) const;
@@ -401,8 +413,7 @@
   bool MayIsolateVm(Millis now) const;
   void ProcessExpiredLeases(Millis now);
   VmWait WaitOf(const Vm& vm, Millis now) const;
-  /// Up to when this owner knows that no other one has extended a lease.
-  Millis SoleOwnerUntil(Millis now) const;
+  VmReach ReachOfVms(Millis now) const;
   void ApplyDone(Job& job, const TaskRef& ref);
   void ApplyFailure(Job& job, const TaskRef& ref, Vm& vm, Millis now);
   void RecordVmFailure(Vm& vm, Millis now);
@@ -655,7 +666,7 @@
   bool all_vms_reconciled_ = true;
   bool journal_complete_ = false;
   bool starts_held_ = false;
-  std::optional<Millis> ownership_confirmed_at_;
+  LeaseAuthority lease_authority_;
   Millis last_check_at_;  ///< Of retries, stalled runs and paces.
   int first_run_number_ = 1;
   std::int64_t wall_ms_ = 0;
--- a/src/libs/jobs/scheduler_losses.cc
+++ b/src/libs/jobs/scheduler_losses.cc
@@ -72,12 +72,25 @@
   return LoseRestartedVm(vm, sent, now, restarted_before);
 }
 
-Millis Scheduler::SoleOwnerUntil(Millis now) const {
-  return std::min(now, ownership_confirmed_at_.value_or(now));
+VmReach Scheduler::ReachOfVms(Millis now) const {
+  VmReach reach;
+  reach.journaled = lease_authority_.UndurableDeletions();
+  for (const auto& [id, vm] : vms_) {
+    if (vm->in_journal || vm->journal_batch > 0) ++reach.journaled;
+    const bool reached = vm->in_journal && vm->reachable &&
+                         lease_authority_.CountsAsReached(
+                             vm->known_since, vm->answered_call_sent_at, now);
+    if (reached) ++reach.reached;
+  }
+  return reach;
+}
+
+bool Scheduler::MayExtendLeases(Millis now) const {
+  return lease_authority_.IsRenewalValid(now) || ReachOfVms(now).IsMajority();
 }
 
 bool Scheduler::AwaitsConfirmation(Millis now) const {
-  const Millis certain = SoleOwnerUntil(now);
+  const Millis certain = lease_authority_.SoleOwnerUntil(now);
   return std::any_of(vms_.begin(), vms_.end(), [&](const auto& entry) {
     const Vm& vm = *entry.second;
     const bool matters = !vm.Runs().empty() || !vm.reconciled;
@@ -88,7 +101,7 @@
 
 void Scheduler::ProcessExpiredLeases(Millis now) {
   // A successor that reaches the VM extends its lease.
-  const Millis certain = SoleOwnerUntil(now);
+  const Millis certain = lease_authority_.SoleOwnerUntil(now);
   all_vms_reconciled_ = true;
   for (auto it = vms_.begin(); it != vms_.end();) {
     Vm& vm = *it->second;
@@ -102,6 +115,7 @@
         !vm.HasDirectoryEntry() && vm.Runs().empty() && vm.lease_expired;
     if (removable) {
       pending_deletions_.push_back({"v" + it->first, {}});
+      lease_authority_.OnVmDeleted();
       dirty_vms_.erase(it->first);
     }
     it = removable ? vms_.erase(it) : std::next(it);
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "jobs/scheduler.h"
 
@@ -11,6 +12,7 @@
   // The lease of an unreachable VM must expire, so that its runs can be started
   // elsewhere.
   if (!deadline || !known->reachable || known->lease_bound_recorded) return 0;
+  if (!MayExtendLeases(now)) return 0;
   known->RecordLeaseDeadline(*deadline);
   return *deadline;
 }
@@ -45,6 +47,9 @@
   if (!vm) return;
   if (!AcceptWorker(*vm, report, sent, now)) return;
   vm->reported_at = now;
+  vm->answered_call_sent_at = sent;
+  if (std::exchange(vm->restored, false))
+    lease_authority_.OnRestoredVmReached(now);
   if (sent > vm->address_changed_at) vm->answered_at_address = true;
   const bool expired_by_clock = vm->UpdateClock(report.clock_ms, sent, now);
   std::optional<RunEventKind> void_by;
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -2,6 +2,7 @@
 #define BASILSPUR_JOBS_SCHEDULER_SETTINGS_H_
 
 #include "base/clock.h"
+#include "jobs/lease_authority.h"
 #include "jobs/tail_controller.h"
 
 namespace basilspur::jobs {
@@ -24,6 +25,7 @@
   Millis max_vm_lease{10'000};
   /// Upper bound of the time that a lease of an earlier owner still lasts.
   Millis max_inherited_lease{17'500};
+  LeaseAuthoritySettings lease_authority;
   /// Interval at which an unanswered start command is resent.
   Millis start_retry_interval{400};
   /// Number of unanswered start commands after which the run is stopped.
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -156,6 +156,8 @@
   bool listed = true;
   bool reachable = false;  ///< The VM answered the last renewal.
   Millis reported_at;      ///< When the last report arrived.
+  /// When the renewal was sent that the last report answers.
+  Millis answered_call_sent_at;
   /// When the VM's listing last got another address; 0: never.
   Millis address_changed_at;
   /// The VM has answered this owner at its present address.
@@ -175,6 +177,9 @@
   /// The journal listed the VM when this owner took over, so earlier owners may
   /// have runs there that are in no record.
   bool inherited = false;
+  /// The journal that was taken over lists the VM, and it has not answered this
+  /// owner yet.
+  bool restored = false;
   /// All runs of earlier owners are known: the VM is not inherited, it has
   /// answered this owner, or its lease has expired.
   bool reconciled = true;
--- a/tests/sim/lost_vms_test.cc
+++ b/tests/sim/lost_vms_test.cc
@@ -102,8 +102,7 @@
 /// for as long as a machine that is gone could renew their leases.
 TEST_CASE(
     "long-running tasks run again soon if their VMs and the owner's machine "
-    "are lost together",
-    "[known-red]") {
+    "are lost together") {
   // From the loss of the VMs to that of the machine.
   const Millis delay = GENERATE(Millis(-500), Millis(100), Millis(700));
   ForEachSeed([&](SimulatedCell& cell) {
