--- a/tests/system/platform_deployment.cc
+++ b/tests/system/platform_deployment.cc
@@ -3,6 +3,8 @@
 #include <signal.h>
 #include <stdlib.h>
 
+#include <array>
+#include <boost/asio/write.hpp>
 #include <fstream>
 #include <future>
 #include <nlohmann/json.hpp>
@@ -22,6 +24,7 @@
 static constexpr Millis kCallTimeout(4'000);
 static constexpr std::chrono::milliseconds kPollInterval(20);
 static constexpr int kMaxPolls = 500;
+static constexpr std::chrono::milliseconds kSilence(2'000);
 /// Delay of a response that counts as lost: longer than any client's time-out.
 static constexpr Millis kNoResponseDelay(10'000);
 
@@ -39,8 +42,10 @@
 }
 
 PlatformDeployment::PlatformDeployment(int entries, int workers, int cells,
-                                       bool relay_peers)
+                                       bool relay_peers,
+                                       std::string more_settings)
     : cells_(cells),
+      more_settings_(std::move(more_settings)),
       peer_client_(context_),
       temporary_folder_(MakeTemporaryFolder()),
       entries_(entries),
@@ -132,7 +137,8 @@
            << "[listen]\nfront = \"" << addresses.caller_api << "\"\nready = \""
            << addresses.readiness << "\"\n[platform]\naddress = \""
            << store_addresses_[entry] << "\"\n[bounds]\ngrace_s = " << grace_s
-           << "\n";
+           << "\n"
+           << more_settings_;
   settings.close();
   ++starts_[entry];
   entries_[entry] = std::make_unique<Process>(
@@ -245,6 +251,35 @@
   return IsOk(answer) && ValueOf(answer).status == 200;
 }
 
+bool PlatformDeployment::IsServingMetrics(int entry) {
+  net::HttpRequest request;
+  request.target = "/metrics";
+  const auto answer = CallOnce(addresses_[entry].peers, std::move(request));
+  return IsOk(answer) && ValueOf(answer).status == 200;
+}
+
+void PlatformDeployment::Exchange(const std::string& address,
+                                  const std::string& text) {
+  const net::Address parsed = ValueOf(net::ParseAddress(address));
+  net::asio::io_context context;
+  net::asio::ip::tcp::socket socket(context);
+  socket.connect({net::asio::ip::make_address(parsed.ip), parsed.port});
+  const auto discard = [&]() -> net::asio::awaitable<void> {
+    std::array<char, 4'096> discarded;
+    net::error_code failure;
+    while (!failure) {
+      co_await socket.async_read_some(
+          net::asio::buffer(discarded),
+          net::asio::redirect_error(net::asio::use_awaitable, failure));
+    }
+  };
+  net::asio::co_spawn(context, discard, net::asio::detached);
+  net::asio::async_write(socket, net::asio::buffer(text),
+                         [](const net::error_code&, std::size_t) {});
+  while (context.run_one_for(kSilence) > 0) {
+  }
+}
+
 void PlatformDeployment::WaitUntilReady() {
   for (int i = 0; i < kMaxPolls; ++i) {
     bool ready = true;
--- a/tests/system/platform_deployment.h
+++ b/tests/system/platform_deployment.h
@@ -24,9 +24,10 @@
  public:
   /// With several cells, workers are assigned to them in turn, and each job has
   /// its home cell by its id. `relay_peers`: entries call each other through
-  /// this process, so that they can be cut off from each other.
+  /// this process, so that they can be cut off from each other. `more_settings`
+  /// are further tables of the entries' settings.
   PlatformDeployment(int entries, int workers, int cells = 1,
-                     bool relay_peers = false);
+                     bool relay_peers = false, std::string more_settings = "");
   ~PlatformDeployment();
 
   /// Starts an entry, or restarts one that has exited. `grace_s` is the
@@ -47,6 +48,24 @@
   const std::string& CallerAddress(int entry) const {
     return addresses_[entry].caller_api;
   }
+  const std::string& ReadinessAddress(int entry) const {
+    return addresses_[entry].readiness;
+  }
+  const std::string& PeerAddress(int entry) const {
+    return addresses_[entry].peers;
+  }
+  /// The most memory that the entry's process has had so far.
+  std::int64_t PeakMemoryMb(int entry) const {
+    return entries_[entry]->PeakMemoryMb();
+  }
+  /// Number of descriptors that the entry's process has open.
+  int DescriptorCount(int entry) const {
+    return entries_[entry]->DescriptorCount();
+  }
+  bool IsServingMetrics(int entry);
+  /// Sends `text` on a connection, and reads what comes back meanwhile. Ends
+  /// with the connection, or once nothing comes any more.
+  static void Exchange(const std::string& address, const std::string& text);
   /// Sends a request as another entry would. An entry that ends the connection
   /// without a response leaves the request in doubt.
   cell::JobReply CallAsPeer(int entry, const cell::JobRequest& request);
@@ -98,6 +117,7 @@
   std::string ReadLog(int entry) const;
 
   int cells_;
+  std::string more_settings_;
   net::asio::io_context context_;
   net::HttpClient peer_client_;
   std::vector<std::string> store_addresses_;  ///< By entry.
--- a/tests/system/process.cc
+++ b/tests/system/process.cc
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -48,14 +49,29 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
-std::string Process::State() const {
-  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+/// The line of a process's status that begins with `name`; empty: none.
+static std::string StatusLine(pid_t pid, const std::string& name) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
   std::string line;
-  while (std::getline(status, line) && !line.starts_with("State:")) {
+  while (std::getline(status, line) && !line.starts_with(name)) {
   }
   return line;
 }
 
+std::string Process::State() const { return StatusLine(pid_, "State:"); }
+
+std::int64_t Process::PeakMemoryMb() const {
+  static const std::string kName = "VmHWM:";
+  const std::string line = StatusLine(pid_, kName);
+  return std::stoll(line.substr(kName.size())) / 1'024;
+}
+
+int Process::DescriptorCount() const {
+  const std::filesystem::directory_iterator descriptors(
+      "/proc/" + std::to_string(pid_) + "/fd");
+  return static_cast<int>(std::distance(begin(descriptors), end(descriptors)));
+}
+
 std::optional<int> Process::TryWait() {
   int status = 0;
   if (waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
--- a/tests/system/process.h
+++ b/tests/system/process.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,6 +30,10 @@
   /// The operating system's line on the state of the process, such as
   /// "State: S (sleeping)". Precondition: as TryWait().
   std::string State() const;
+  /// The most resident memory so far. Precondition: as TryWait().
+  std::int64_t PeakMemoryMb() const;
+  /// Number of open descriptors. Precondition: as TryWait().
+  int DescriptorCount() const;
   /// As Wait(), but returns nothing while the process runs. Precondition: the
   /// end has not been returned yet.
   std::optional<int> TryWait();
