Bound what a client keeps of an answer

A VM, the store or another entry that answers with headers, a chunk extension or trailers without end fills the memory of the entry that called it.

Cause: the read buffer of HttpClient, and that of the other front's connections to targets, had no limit. Both keep a part of a message until it ends.

Change: the buffers hold 64 kB and 128 kB; headers 16 kB; answers 8 MB rather than 64 MB (the longest are pages of the store of 1 MB in base64). A longer one fails the call like a broken connection.

--- a/src/libs/front/upstream_pool.h
+++ b/src/libs/front/upstream_pool.h
@@ -17,7 +17,8 @@
   explicit UpstreamConnection(asio::io_context& context) : stream(context) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  /// Bounds trailers and chunk extensions, which are kept until they end.
+  beast::flat_buffer buffer{128 * 1024};
   Millis idle_since;
 };
 
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -19,7 +19,13 @@
 /// time out. A running peer accepts within far less than this.
 static constexpr Millis kConnectTimeout(500);
 static constexpr std::size_t kMaxIdlePerPeer = 12;
-static constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20;
+/// The longest answers are pages of the store, of 1 MB in base64, and VMs'
+/// lists of ends.
+static constexpr std::uint64_t kMaxResponseBytes = 8ULL << 20;
+static constexpr std::uint32_t kMaxHeaderBytes = 16 * 1024;
+/// Bounds the headers, the header of a chunk with its extension, and the
+/// trailers, which are kept until they end.
+static constexpr std::size_t kMaxBufferBytes = 64 * 1024;
 
 static constexpr char kLimitStep[] = "limit";
 static constexpr char kConnectStep[] = "connect";
@@ -127,9 +133,10 @@
       co_return Error{ErrorCode::kUnavailable, kSendStep, address,
                       failure.message()};
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxBufferBytes);
     buffer.reserve(kReadBufferBytes);
     http::response_parser<http::string_body> parser;
+    parser.header_limit(kMaxHeaderBytes);
     parser.body_limit(kMaxResponseBytes);
     co_await http::async_read(
         stream, buffer, parser,
