--- a/tests/system/client_limits_test.cc
+++ b/tests/system/client_limits_test.cc
@@ -183,8 +183,7 @@
 }
 
 /// Guards against a metric for each text that a client sends as a method.
-TEST_CASE("methods that nobody knows fill the memory with metrics",
-          "[known-red]") {
+TEST_CASE("methods that nobody knows fill the memory with metrics") {
   PlatformDeployment deployment(1, 1, 1, /*relay_peers=*/false, kLimits);
   deployment.WaitUntilReady();
   REQUIRE(deployment.Submit(0, kJobId, 1, "10") == 200);
