Hold no failures against a VM on which long-running tasks worked

A long-running task that fails may find its VMs closed for 4 s, though they work.

Cause: three failures in a row quarantine a VM for 4 s, and so does each further one; only an end as done resets the count.

Change: a long-running run that is reported to be at work resets the count.

--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -158,6 +158,10 @@
     run->percent = row.percent;
     run->progressed_at = now;
   }
+  // A long-running task never ends as done, which shows the same of its VM.
+  const bool at_work = row.percent >= 100;
+  if (at_work && job->record.spec.steps[row.task.step].long_running)
+    vm.consecutive_failures = 0;
   task->SaveCheckpoint(row.checkpoint, now);
   if (RunOnVm* charged_run = vm.FindRun(key)) {
     charged_run->measurement = row.measurement;
