--- a/tests/sim/lost_vms_test.cc
+++ b/tests/sim/lost_vms_test.cc
@@ -122,6 +122,24 @@
   });
 }
 
+/// Guards against a wait that does not end with the trouble of a former owner.
+TEST_CASE(
+    "long-running tasks run again soon if their VMs are lost while the owner "
+    "is frozen") {
+  constexpr Millis kFreeze(4'000);
+  ForEachSeed([&](SimulatedCell& cell) {
+    const int owner = cell.Owner();
+    cell.SetFrozen(owner, true);
+    cell.RunFor(Millis(500));
+    const std::vector<std::string> lost = LoseVms(cell);
+    cell.RunFor(kFreeze - Millis(500));
+    cell.SetFrozen(owner, false);
+    cell.StartContactTime(owner);
+    UnlistVms(cell, lost);
+    cell.RunFor(kMaxGap - kReplacement);
+  });
+}
+
 /// Guards against a wait that each change of owner begins anew.
 TEST_CASE(
     "long-running tasks run again soon if their VMs are lost while owners "
