--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -233,7 +233,15 @@
          !dirty_vms_.empty() || moved_.HasChanges();
 }
 
-void Scheduler::AddProgress(Job& job, std::vector<JournalEntry>& entries) {
+/// Appends the entries that remove the job's progress from the journal.
+static void RemoveProgress(Job& job, std::vector<JournalEntry>& entries) {
+  for (const int part : job.progress_parts)
+    entries.push_back({ProgressKey(job.id, part), {}});
+  job.progress_parts.clear();
+}
+
+/// Appends the entries for the job's present progress.
+static void AddProgress(Job& job, std::vector<JournalEntry>& entries) {
   std::set<int> parts;
   for (const auto& [part, progress] :
        SplitProgress(job.record.spec, job.MakeProgress())) {
@@ -245,12 +253,6 @@
   job.progress_parts = std::move(parts);
 }
 
-void Scheduler::RemoveProgress(Job& job, std::vector<JournalEntry>& entries) {
-  for (const int part : job.progress_parts)
-    entries.push_back({ProgressKey(job.id, part), {}});
-  job.progress_parts.clear();
-}
-
 JournalBatch Scheduler::TakeBatch(std::int64_t wall_ms) {
   PurgeEndedJobs(wall_ms);
   JournalBatch batch;
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -21,6 +21,7 @@
 #include "jobs/delegation_policy.h"
 #include "jobs/job.h"
 #include "jobs/job_tier_policy.h"
+#include "jobs/job_turn.h"
 #include "jobs/journal_batch.h"
 #include "jobs/known_run.h"
 #include "jobs/late_job_order.h"
@@ -36,11 +37,15 @@
 #include "jobs/run_times.h"
 #include "jobs/scheduler_settings.h"
 #include "jobs/sent_delegations.h"
+#include "jobs/slow_task.h"
+#include "jobs/submit_result.h"
 #include "jobs/tail_controller.h"
 #include "jobs/task_copy.h"
 #include "jobs/unplaceable_tasks.h"
 #include "jobs/unreachable_vm.h"
+#include "jobs/visible_job_state.h"
 #include "jobs/vm.h"
+#include "jobs/vm_load.h"
 #include "jobs/vm_loss.h"
 #include "jobs/waiting_task.h"
 
@@ -50,16 +55,6 @@
 struct AwaitedVm;
 struct UnreportedRun;
 
-/// Result of submitting a job.
-enum class SubmitResult { kNew, kAlreadyExists, kTooManyJobs };
-
-/// What runs on a VM; determines how often the VM has to report. kMixed: tasks
-/// with a tail latency target beside best-effort runs.
-enum class VmLoad { kIdle, kBusy, kMixed };
-
-/// State of a job as reported to callers.
-enum class VisibleJobState { kQueued, kRunning, kDone, kFailed, kCancelled };
-
 /// Scheduling logic of one cell: decides which task runs on which VM and when,
 /// processes the reports of VMs and the loss of answers, and determines what
 /// has to be written to the journal. It does no input or output. Time is passed
@@ -315,22 +310,6 @@
   /// Sorts by the queue's priority, then by the time of acceptance.
   using ActiveJobKey = std::pair<int, std::pair<std::int64_t, std::string>>;
 
-  /// A job's turn in a plan: all of its waiting tasks, or the first one only.
-  struct Turn {
-    Job* job;
-    JobTier tier;
-    bool first_task_only;
-    int late_rank = 0;  ///< See Job::late_rank.
-  };
-
-  /// A task whose only run is slow.
-  struct SlowTask {
-    Job* job;
-    TaskRef ref;
-    SlowRun slow;
-    Millis age;  ///< Of the run.
-  };
-
   Job* FindJob(const std::string& id);
   /// Returns null if the job or the task is not known.
   Task* FindTask(const TaskRef& ref);
@@ -356,10 +335,6 @@
   /// Processes a row of the answer to a renewal that was sent at `sent`.
   void ProcessRunningRun(Vm& vm, const RunningRunReport& row, Millis sent,
                          Millis now);
-  /// Whether the end counts although its run is not known: it was released
-  /// before, or was never recorded.
-  static bool CountsWithoutRun(const Job* job, const Task* task,
-                               const EndedRunReport& row);
   /// `void_by`: why an end as done does not count; empty: it does if its run is
   /// known. `may_be_void`: a lapse that is not listed yet may make it void.
   void ProcessEndedRun(Vm& vm, const EndedRunReport& row,
@@ -483,10 +458,6 @@
   /// tasks is valid any more.
   void RetireOccurrencesOfGuest(Job& job,
                                 const std::vector<OccurrenceRange>& retired);
-  /// Appends the entries for the job's present progress.
-  static void AddProgress(Job& job, std::vector<JournalEntry>& entries);
-  /// Appends the entries that remove the job's progress from the journal.
-  static void RemoveProgress(Job& job, std::vector<JournalEntry>& entries);
   void PlanJob(Job& job, const std::vector<Vm*>& vms, Millis now,
                std::vector<RunCommand>& commands);
   void PlanStep(Job& job, Occurrence& occurrence, int step,
@@ -593,11 +564,11 @@
   bool CanStartRuns(const Job& job) const;
   /// The turns of active jobs by priority, then by tier, then by the time of
   /// acceptance.
-  std::vector<Turn> TurnsInSchedulingOrder() const;
+  std::vector<JobTurn> TurnsInSchedulingOrder() const;
   void UpdateTier(Job& job, Millis now);
   /// Sets the order of the jobs that can no longer be in time.
   void RankLateJobs(Millis now);
-  static void AddLateTurns(Job& job, std::vector<Turn>& turns);
+  static void AddLateTurns(Job& job, std::vector<JobTurn>& turns);
   /// Updates since when nothing of the job runs though a task waits.
   void UpdateIdleTime(Job& job, Millis now);
   std::optional<TaskRef> FirstWaitingTask(const Job& job, bool best_effort,
--- a/src/libs/jobs/scheduler_copies.cc
+++ b/src/libs/jobs/scheduler_copies.cc
@@ -113,7 +113,7 @@
   }
 }
 
-std::vector<Scheduler::SlowTask> Scheduler::FindSlowTasks(Millis now) const {
+std::vector<SlowTask> Scheduler::FindSlowTasks(Millis now) const {
   std::vector<SlowTask> slow_tasks;
   for (const auto& [key, job] : active_jobs_) {
     if (job->IsGuest() || !CanStartRuns(*job)) continue;
--- a/src/libs/jobs/scheduler_late_jobs.cc
+++ b/src/libs/jobs/scheduler_late_jobs.cc
@@ -17,7 +17,7 @@
   late_jobs_.AssignRanks();
 }
 
-void Scheduler::AddLateTurns(Job& job, std::vector<Turn>& turns) {
+void Scheduler::AddLateTurns(Job& job, std::vector<JobTurn>& turns) {
   const bool past_use = job.lateness == Lateness::kPastUse;
   const JobTier tier =
       past_use ? JobTier::kDeferred : JobTier::kDeferredStarted;
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -35,7 +35,7 @@
   if (check) ReturnWaitingGuests(now);
   if (check) PlanReliefRuns(vms, now, commands);
   PlanLongRunningTasks(vms, now, commands);
-  for (const Turn& turn : TurnsInSchedulingOrder()) {
+  for (const JobTurn& turn : TurnsInSchedulingOrder()) {
     if (!CanStartRuns(*turn.job)) continue;
     backfill_.BeginPriority(turn.job->record.priority, vms, now);
     if (turn.first_task_only) {
@@ -56,8 +56,8 @@
   if (queue) job.tier = tier_policy_.TierOf(job, *queue, now);
 }
 
-std::vector<Scheduler::Turn> Scheduler::TurnsInSchedulingOrder() const {
-  std::vector<Turn> turns;
+std::vector<JobTurn> Scheduler::TurnsInSchedulingOrder() const {
+  std::vector<JobTurn> turns;
   turns.reserve(active_jobs_.size());
   for (const auto& [key, job] : active_jobs_) {
     if (job->late_rank > 0) {
@@ -77,13 +77,13 @@
       turns.push_back({job, JobTier::kStarted, /*first_task_only=*/true});
     }
   }
-  const auto rank = [](const Turn& turn) {
+  const auto rank = [](const JobTurn& turn) {
     return std::tuple(turn.job->record.priority, turn.tier, turn.late_rank,
                       !turn.first_task_only);
   };
   std::stable_sort(
       turns.begin(), turns.end(),
-      [&](const Turn& a, const Turn& b) { return rank(a) < rank(b); });
+      [&](const JobTurn& a, const JobTurn& b) { return rank(a) < rank(b); });
   return turns;
 }
 
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -99,8 +99,10 @@
          run < task->run_base + first_run_number_;
 }
 
-bool Scheduler::CountsWithoutRun(const Job* job, const Task* task,
-                                 const EndedRunReport& row) {
+/// Whether the end counts although its run is not known: it was released
+/// before, or was never recorded.
+static bool CountsWithoutRun(const Job* job, const Task* task,
+                             const EndedRunReport& row) {
   // It is acknowledged, so the task must not run again. The home cell of a
   // guest job, or the host of a task, decides about the others.
   return task && row.end == RunEnd::kDone && !job->IsGuest() &&
