--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -55,8 +55,8 @@
   Millis wait_log_interval{1'000};
   std::size_t max_logged_waits = 6;
   Millis min_logged_wait{1'000};
-  /// Age from which a report counts as missing in these lines and in
-  /// "cell_state". A VM without runs may hold a renewal for 2 s.
+  /// Age from which a report counts as missing in these lines. A VM without
+  /// runs may hold a renewal for 2 s.
   Millis missing_report_age{3'000};
   /// The longest of these waits while the renewal of the ownership is overdue,
   /// so that the answers show which VMs are reached: see jobs::LeaseAuthority.
--- a/src/libs/net/connection_limiter.h
+++ b/src/libs/net/connection_limiter.h
@@ -4,6 +4,8 @@
 #include <cstddef>
 #include <set>
 
+#include "net/bounded_connection.h"
+
 namespace basilspur::net {
 
 class BoundedConnection;
@@ -34,6 +36,31 @@
   std::set<BoundedConnection*> ending_;
 };
 
+/// Whether `a` is ended before `b`.
+inline bool EndsBefore(const BoundedConnection& a, const BoundedConnection& b) {
+  if (a.Phase() != b.Phase()) return a.Phase() > b.Phase();
+  return a.Since() < b.Since();
+}
+
+inline bool ConnectionLimiter::MakeRoom() {
+  if (connections_.size() < max_connections_) return true;
+  BoundedConnection* ended = nullptr;
+  for (BoundedConnection* connection : connections_) {
+    if (!connection->IsEvictable()) continue;
+    if (!ended || EndsBefore(*connection, *ended)) ended = connection;
+  }
+  if (!ended) return false;
+  connections_.erase(ended);
+  ending_.insert(ended);
+  ended->Evict(Refusal::kConnections);
+  return true;
+}
+
+inline void ConnectionLimiter::Remove(BoundedConnection& connection) {
+  connections_.erase(&connection);
+  ending_.erase(&connection);
+}
+
 }  // namespace basilspur::net
 
 #endif  // BASILSPUR_NET_CONNECTION_LIMITER_H_
--- a/src/libs/net/stream_timer.h
+++ b/src/libs/net/stream_timer.h
@@ -2,8 +2,10 @@
 #define BASILSPUR_NET_STREAM_TIMER_H_
 
 #include <boost/beast/core/tcp_stream.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <utility>
 
 #include "base/clock.h"
 #include "net/asio.h"
@@ -38,6 +40,30 @@
   std::shared_ptr<State> state_;
 };
 
+/// State that the timer's handler shares. The handler of a wait that has
+/// already completed may run after the timer is destroyed; `destroyed` makes it
+/// do nothing.
+struct StreamTimer::State {
+  bool cancelled = false;
+  bool destroyed = false;
+};
+
+inline StreamTimer::StreamTimer(boost::beast::tcp_stream& stream,
+                                Millis timeout, CancelPredicate should_cancel)
+    : timer_(stream.get_executor()), state_(std::make_shared<State>()) {
+  timer_.expires_after(std::chrono::milliseconds(timeout.count));
+  timer_.async_wait([&stream, state = state_,
+                     predicate = std::move(should_cancel)](error_code failure) {
+    if (failure || state->destroyed || (predicate && !predicate())) return;
+    state->cancelled = true;
+    stream.cancel();
+  });
+}
+
+inline StreamTimer::~StreamTimer() { state_->destroyed = true; }
+
+inline bool StreamTimer::HasCancelled() const { return state_->cancelled; }
+
 }  // namespace basilspur::net
 
 #endif  // BASILSPUR_NET_STREAM_TIMER_H_
