--- a/tests/sim/lost_vms_test.cc
+++ b/tests/sim/lost_vms_test.cc
@@ -60,7 +60,7 @@
   return true;
 }
 
-/// The machine of the node is gone for good: its address refuses nothing.
+/// The machine of the node is lost for good: connections to it time out.
 static void LoseMachine(SimulatedCell& cell, int node) {
   cell.Faults(node).peers_cut = true;
   cell.KillNode(node);
@@ -99,7 +99,7 @@
 }
 
 /// Guards against a successor that holds runs on VMs that it has never reached
-/// for as long as a machine that is gone could renew their leases.
+/// for as long as a lost machine could have renewed their leases.
 TEST_CASE(
     "long-running tasks run again soon if their VMs and the owner's machine "
     "are lost together") {
