--- a/review/standins-2/src/executor.h
+++ b/review/standins-2/src/executor.h
@@ -18,8 +18,9 @@
 /// One lifetime of an executor, by the users' pages: fence numbers, a lease of
 /// all runs that is shortened to `hold_max`, numbered ends, and status 421 for
 /// calls that are meant for another lifetime. It starts whatever it is told to
-/// (`enforces_capacity` false). A task's spec is its duration in ms. A stop
-/// takes effect at once.
+/// (`enforces_capacity` false). A task's spec is its duration in ms, or "lasts"
+/// for one that runs until it is stopped and is at work after half a second. A
+/// stop takes effect at once.
 ///
 /// Thread safety: only on the thread of its io_context.
 class Executor {
@@ -54,7 +55,9 @@
     int number = 0;
     Millis started;
     Millis work;
+    bool lasts = false;
   };
+  static constexpr Millis kStartup{500};
   struct End {
     std::int64_t number = 0;
     std::string task;
@@ -95,7 +98,7 @@
     std::vector<std::pair<std::string, std::string>> due;
     for (const auto& [task, run] : running_) {
       const Millis done_at = run.started + run.work;
-      if (done_at <= Now() && done_at.count <= deadline_ms_) {
+      if (!run.lasts && done_at <= Now() && done_at.count <= deadline_ms_) {
         due.emplace_back(task, "done");
       } else if (Now().count > deadline_ms_) {
         due.emplace_back(task, "lapsed");
@@ -122,8 +125,10 @@
     }
     if (deadline <= Now().count) return Reply(409, "late");
     Extend(deadline);
-    const auto work = std::stoll(call.at("spec").get<std::string>());
-    running_[task] = {run, Now(), Millis(work)};
+    const auto spec = call.at("spec").get<std::string>();
+    const bool lasts = spec == "lasts";
+    const Millis work = lasts ? kStartup : Millis(std::stoll(spec));
+    running_[task] = {run, Now(), work, lasts};
     Write("started " + task + " run " + std::to_string(run));
     return Reply(200);
   }
@@ -153,8 +158,9 @@
       const auto worked = (Now() - run.started).count;
       const auto percent =
           run.work.count > 0 ? 100 * worked / run.work.count : 99;
+      const std::int64_t most = run.lasts ? 100 : 99;
       body["running"].push_back(
-          {task, run.number, "", std::min<std::int64_t>(percent, 99), 0});
+          {task, run.number, "", std::min<std::int64_t>(percent, most), 0});
     }
     for (const End& end : ends_)
       body["finished"].push_back({end.number, end.task, end.run, end.how, ""});
