--- a/review/standins-2/src/executor.h
+++ b/review/standins-2/src/executor.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -20,7 +21,9 @@
 /// calls that are meant for another lifetime. It starts whatever it is told to
 /// (`enforces_capacity` false). A task's spec is its duration in ms, or "lasts"
 /// for one that runs until it is stopped and is at work after half a second. A
-/// stop takes effect at once.
+/// stop takes effect at once. While a file named as `record` with ".sick." and
+/// the id behind it exists, the executor is unhealthy and refuses starts with
+/// status 503.
 ///
 /// Thread safety: only on the thread of its io_context.
 class Executor {
@@ -29,7 +32,8 @@
   Executor(std::string id, Millis hold_max, const std::string& record)
       : id_(std::move(id)),
         hold_max_(hold_max),
-        record_(record, std::ios::app) {}
+        record_(record, std::ios::app),
+        sick_path_(record + ".sick." + id_) {}
 
   net::asio::awaitable<net::HttpResponse> HandleRequest(
       net::HttpRequest request) {
@@ -124,6 +128,10 @@
       return Reply(409, "old");
     }
     if (deadline <= Now().count) return Reply(409, "late");
+    if (std::filesystem::exists(sick_path_)) {
+      Write("refused " + task + " run " + std::to_string(run));
+      return Reply(503);
+    }
     Extend(deadline);
     const auto spec = call.at("spec").get<std::string>();
     const bool lasts = spec == "lasts";
@@ -170,6 +178,7 @@
   std::string id_;
   Millis hold_max_;
   std::ofstream record_;
+  std::string sick_path_;
   SystemClock clock_;
   std::int64_t fence_ = 0;
   std::int64_t deadline_ms_ = 0;
--- a/review/standins-2/src/small_deployment.cc
+++ b/review/standins-2/src/small_deployment.cc
@@ -61,7 +61,7 @@
 static std::int64_t WallMs() { return SystemClock().Wall().count; }
 
 SmallDeployment::SmallDeployment(int entries, int executors, int cpu_millis,
-                                 const Json& routes)
+                                 const Json& routes, bool last_alone)
     : folder_(MakeFolder()),
       runs_path_(folder_ + "/runs.txt"),
       cpu_millis_(cpu_millis),
@@ -87,6 +87,7 @@
     Executor& executor = executors_.emplace_back();
     executor.address = fakes::FreeAddress(ip);
     executor.rack = "r" + std::to_string(1 + i / 4);
+    if (last_alone && i == executors - 1) executor.rack = "alone";
     executor.id = "i-" + std::to_string(i);
     StartExecutor(executor);
   }
@@ -213,6 +214,17 @@
   StartExecutor(executor);
 }
 
+void SmallDeployment::SetSick(int number, bool sick) {
+  const std::string& id = executors_[number].id;
+  const std::string path = runs_path_ + ".sick." + id;
+  Note("trouble: executor " + id + (sick ? " turns unhealthy" : " is healthy"));
+  if (sick) {
+    std::ofstream file(path);
+  } else {
+    std::filesystem::remove(path);
+  }
+}
+
 void SmallDeployment::Note(const std::string& line) {
   record_ << WallMs() << " " << line << std::endl;
 }
--- a/review/standins-2/src/small_deployment.h
+++ b/review/standins-2/src/small_deployment.h
@@ -34,8 +34,9 @@
 
   /// `routes` is the list of routes in the config. Executors have `cpu_millis`
   /// each. Throws if not all entries are ready within 15 s.
+  /// With `last_alone` the last executor has the rack "alone" to itself.
   SmallDeployment(int entries, int executors, int cpu_millis,
-                  const nlohmann::json& routes);
+                  const nlohmann::json& routes, bool last_alone = false);
   ~SmallDeployment();
 
   /// Calls an entry as a requester and records the call and its answer.
@@ -48,6 +49,8 @@
   /// Starts the next lifetime of an executor at its address, under a new id,
   /// and removes the entry of the former one.
   void Restart(int executor);
+  /// Makes an executor refuse starts as unhealthy, or ends that.
+  void SetSick(int executor, bool sick);
   /// Writes a line to the record.
   void Note(const std::string& line);
   /// What the executors have written so far, one line each: the time in Unix
