--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=target/review-2
+rm -rf "$out"
 mkdir -p "$out"
 flags="-std=c++20 -O1 -Wall -Wextra -Wno-mismatched-new-delete -Isrc/libs -Itests -Ireview/standins-2/src"
 compile() { g++ $flags -c "$1" -o "$2"; }
@@ -30,4 +31,6 @@
   link "$source" "$out/case-$number" &
 done
 wait
-for program in store executor; do test -x "$out/$program"; done
+for program in store executor case-6 case-9 case-10; do
+  test -x "$out/$program" || { echo "$out/$program is not built" >&2; exit 1; }
+done
