--- a/review/standins-2/src/executor.cc
+++ b/review/standins-2/src/executor.cc
@@ -54,6 +54,11 @@
   }
 }
 
+/// Ends runs in time also while nobody calls.
+static asio::awaitable<void> EndRuns(Executor& executor) {
+  for (;; co_await net::Sleep(Millis(50))) executor.Tick();
+}
+
 int main(int argc, char** argv) {
   if (argc != 7) {
     std::cerr << "usage: executor ID ADDRESS STORE RECORD CPU RACK\n";
@@ -74,6 +79,7 @@
   ChannelCap channels(
       context, {asio::ip::make_address("127.0.0.1"), ValueOf(port)}, kChannels);
   if (!channels.Listen(argv[2])) return 3;
+  net::Spawn(context, EndRuns(executor), "end_runs");
   net::Spawn(context, WriteChannels(channels, executor), "write_channels");
   net::Spawn(
       context,
--- a/review/standins-2/src/executor.h
+++ b/review/standins-2/src/executor.h
@@ -53,6 +53,8 @@
     co_return Reply(404);
   }
 
+  /// Ends the runs whose work is finished or whose lease has expired.
+  void Tick() { EndDueRuns(); }
   /// Appends a line to the record.
   void Write(const std::string& line) {
     record_ << clock_.Wall().count << " " << id_ << " " << line << std::endl;
