WaitingClients destroys its sockets before their io_context

Cause: the clients' sockets were declared before their io_context, so they were destroyed after it and used it in their destructors. Of the other tests with sockets as members, read for the same order, none has it.

Change: the sockets are declared last. No check is lost.

--- a/tests/auto/net/http_server_load_test.cc
+++ b/tests/auto/net/http_server_load_test.cc
@@ -32,19 +32,21 @@
     const Tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"),
                                  ValueOf(port));
     for (int i = 0; i < kConnections; ++i) {
-      clients.emplace_back(client_context_).connect(endpoint);
-      asio::write(clients.back(), asio::buffer(kRequest, sizeof kRequest - 1));
+      clients_.emplace_back(client_context_).connect(endpoint);
+      asio::write(clients_.back(), asio::buffer(kRequest, sizeof kRequest - 1));
     }
   }
 
   asio::io_context& Server() { return server_; }
+  std::vector<Tcp::socket>& Clients() { return clients_; }
 
   std::vector<Millis> handled;  ///< The ages of the handled requests.
-  std::vector<Tcp::socket> clients;
 
  private:
   asio::io_context client_context_;
   asio::io_context server_;
+  /// Declared after their context, which they use in their destructors.
+  std::vector<Tcp::socket> clients_;
 };
 
 TEST_CASE("a server accepts waiting connections in few rounds of its loop") {
@@ -70,7 +72,8 @@
   net::HttpServerOptions options;
   options.on_abandoned = [&](Millis age) { abandoned.push_back(age); };
   WaitingClients waiting(std::move(options));
-  waiting.clients.erase(waiting.clients.begin() + 1, waiting.clients.end());
+  waiting.Clients().erase(waiting.Clients().begin() + 1,
+                          waiting.Clients().end());
   usleep(kWaitMicros);
   waiting.Server().run_for(std::chrono::milliseconds(kRunDuration.count));
   CHECK(waiting.handled.size() == 1);
