Connections to VMs are few, and closed when they are not needed

Jobs that were accepted in calm did not begin within 17 s, while the executors were idle.

Cause: HttpClient kept up to 12 idle connections to an address without a bound of time, and an owner that stopped closed none. Six former owners took up the 64 connections that a VM takes. The stand-ins' counts show 64 open and 184 reset; that the present owner uses them up itself, or takes reachable VMs for unreachable, is ruled out by the same counts.

New unit tests for the age, the number and the closing; they need the new interface.

--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -38,11 +38,15 @@
       plan_timer_(context) {}
 
 void CellOwner::Stop() {
-  if (!stopped_) LogRunEvents();
+  if (stopped_) return;
+  LogRunEvents();
   stopped_ = true;
   ready_ = false;
   batch_pending_.NotifyAll();
   batch_durable_.NotifyAll();
+  // The next owner needs the connections that the VMs take.
+  for (const jobs::VmListing& vm : scheduler_.VmsToRenew())
+    vm_client_.Disconnect(vm.address);
 }
 
 std::string CellOwner::LogFields() const {
--- a/src/libs/cell/vm_client.h
+++ b/src/libs/cell/vm_client.h
@@ -52,6 +52,10 @@
   virtual net::asio::awaitable<CommandAnswer> Send(
       jobs::VmListing vm, jobs::RunCommand command, std::int64_t fencing_token,
       std::int64_t deadline_ms) = 0;
+
+  /// No call to the address follows for now: an owner that has stopped, or the
+  /// VM is gone. VMs take a limited number of connections.
+  virtual void Disconnect(const std::string& address) = 0;
 };
 
 }  // namespace basilspur::cell
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <map>
@@ -7,8 +8,10 @@
 #include <utility>
 #include <vector>
 
+#include "base/clock.h"
 #include "net/address.h"
 #include "net/call_limiter.h"
+#include "net/call_slots.h"
 
 namespace basilspur::net {
 
@@ -19,6 +22,9 @@
 /// time out. A running peer accepts within far less than this.
 static constexpr Millis kConnectTimeout(500);
 static constexpr std::size_t kMaxIdlePerPeer = 12;
+static constexpr Millis kSweepInterval(500);
+/// A call that has waited for a connection almost until its time-out.
+static constexpr Millis kMinExchangeTime(10);
 /// The longest answers are pages of the store, of 1 MB in base64, and VMs'
 /// lists of ends.
 static constexpr std::uint64_t kMaxResponseBytes = 8ULL << 20;
@@ -54,15 +60,35 @@
 class HttpClient::Private {
  public:
   Private(asio::io_context& context, HttpClientOptions options)
-      : context_(context), limiter_(options.max_calls_to_silent_peer) {}
+      : context_(context),
+        options_(options),
+        limiter_(options.max_calls_to_silent_peer),
+        slots_(context, options.max_connections_per_peer) {}
 
   CallLimiter& Limiter() { return limiter_; }
+  CallSlots& Slots() { return slots_; }
+  Millis Now() const { return clock_.Monotonic(); }
+
+  /// A call to the peer begins.
+  void OnCall(const std::string& address) {
+    peers_[address].disconnecting = false;
+    if (Now() - last_sweep_ < kSweepInterval) return;
+    last_sweep_ = Now();
+    for (auto& [key, peer] : peers_) CloseOldIdle(peer);
+  }
+
+  void Disconnect(const std::string& address) {
+    const auto found = peers_.find(address);
+    if (found == peers_.end()) return;
+    found->second.idle.clear();
+    found->second.disconnecting = true;
+  }
 
   /// Returns a connection that the peer has not closed, as far as is known.
   Stream TakeIdle(const std::string& address) {
     Peer& peer = peers_[address];
     while (!peer.idle.empty()) {
-      Stream stream = std::move(peer.idle.back());
+      Stream stream = std::move(peer.idle.back().stream);
       peer.idle.pop_back();
       if (IsOpen(*stream)) return stream;
       peer.lost_connection = true;
@@ -89,8 +115,9 @@
   }
 
   void PutIdle(const std::string& address, Stream stream) {
-    std::vector<Stream>& idle = peers_[address].idle;
-    if (idle.size() < kMaxIdlePerPeer) idle.push_back(std::move(stream));
+    Peer& peer = peers_[address];
+    if (peer.disconnecting || peer.idle.size() >= kMaxIdlePerPeer) return;
+    peer.idle.push_back({std::move(stream), Now()});
   }
 
   asio::awaitable<Result<Stream>> Connect(std::string address, Millis timeout) {
@@ -158,14 +185,29 @@
   }
 
  private:
+  struct IdleConnection {
+    Stream stream;
+    Millis since;
+  };
   struct Peer {
-    std::vector<Stream> idle;
-    bool lost_connection = false;  ///< See HasLostConnection.
+    std::vector<IdleConnection> idle;  ///< The one that was used last is last.
+    bool lost_connection = false;      ///< See HasLostConnection.
+    bool disconnecting = false;        ///< No call since Disconnect.
   };
 
+  void CloseOldIdle(Peer& peer) const {
+    std::erase_if(peer.idle, [&](const IdleConnection& connection) {
+      return Now() - connection.since > options_.max_idle_age;
+    });
+  }
+
   asio::io_context& context_;
+  HttpClientOptions options_;
+  BootClock clock_;
   CallLimiter limiter_;
+  CallSlots slots_;
   std::map<std::string, Peer> peers_;
+  Millis last_sweep_;
 };
 
 HttpClient::HttpClient(asio::io_context& context, HttpClientOptions options)
@@ -173,8 +215,12 @@
 
 HttpClient::~HttpClient() = default;
 
+void HttpClient::Disconnect(const std::string& address) {
+  d_->Disconnect(address);
+}
+
 /// Ends a call that has begun, also if an exception leaves it.
-class CountedCall {
+class HttpClient::CountedCall {
  public:
   CountedCall(CallLimiter& limiter, std::string address)
       : limiter_(limiter), address_(std::move(address)) {}
@@ -189,6 +235,20 @@
   std::string address_;
 };
 
+/// Releases a slot at the end of its call, also if an exception leaves it.
+class HttpClient::HeldSlot {
+ public:
+  HeldSlot(CallSlots& slots, std::string address)
+      : slots_(slots), address_(std::move(address)) {}
+  ~HeldSlot() { slots_.Release(address_); }
+  HeldSlot(const HeldSlot&) = delete;
+  HeldSlot& operator=(const HeldSlot&) = delete;
+
+ private:
+  CallSlots& slots_;
+  std::string address_;
+};
+
 static CallLimiter::Outcome OutcomeOf(const Result<HttpResponse>& result,
                                       Millis timeout) {
   using Outcome = CallLimiter::Outcome;
@@ -210,8 +270,17 @@
                     "the peer does not answer the calls under way"};
   }
   CountedCall call(d->Limiter(), address);
+  d->OnCall(address);
+  const Millis started = d->Now();
+  if (!co_await d->Slots().Acquire(address, timeout)) {
+    co_return Error{ErrorCode::kUnavailable, kLimitStep, address,
+                    "all connections to the peer are in use"};
+  }
+  const HeldSlot slot(d->Slots(), address);
+  const Millis left =
+      std::max(timeout - (d->Now() - started), kMinExchangeTime);
   Result<HttpResponse> result = co_await CallAnyConnection(
-      d, address, std::move(request), timeout, std::move(body_after_loss));
+      d, address, std::move(request), left, std::move(body_after_loss));
   call.outcome = OutcomeOf(result, timeout);
   co_return result;
 }
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPUR_NET_HTTP_CLIENT_H_
 #define BASILSPUR_NET_HTTP_CLIENT_H_
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,6 +17,12 @@
   /// A peer that has not answered in time gets at most this many calls at once
   /// until it answers one; 0: no limit.
   int max_calls_to_silent_peer = 0;
+  /// Bounds the connections to a peer, those of calls and idle ones together.
+  /// Further calls wait for their turn. 0: no limit.
+  std::size_t max_connections_per_peer = 0;
+  /// An idle connection is closed at the first call to any peer after this
+  /// time. A peer may take a limited number of connections.
+  Millis max_idle_age{5'000};
 };
 
 /// An HTTP/1.1 client for control messages, with a pool of idle connections to
@@ -37,8 +44,8 @@
   /// malformed address, kRefused if nothing listens at it, kUnavailable if no
   /// connection could be established or it broke, kTimeout if the response did
   /// not arrive within `timeout` ms. The steps "limit", "connect" and "send"
-  /// mean that the peer did not receive a complete request; "limit" is that of
-  /// HttpClientOptions.
+  /// mean that the peer did not receive a complete request; "limit" is one of
+  /// those of HttpClientOptions.
   ///
   /// `body_after_loss` is for a request whose body is meant for the process
   /// that answered before. Once a connection to the peer has been lost, another
@@ -47,9 +54,14 @@
   asio::awaitable<Result<HttpResponse>> Call(
       std::string address, HttpRequest request, Millis timeout,
       std::optional<std::string> body_after_loss = std::nullopt);
+  /// Closes the connections to the peer: idle ones at once, those of calls
+  /// under way at the end of the call, unless a later call needs them.
+  void Disconnect(const std::string& address);
 
  private:
   class Private;
+  class CountedCall;
+  class HeldSlot;
   /// Sends the request on an idle connection or on a new one.
   static asio::awaitable<Result<HttpResponse>> CallAnyConnection(
       std::shared_ptr<Private> d, std::string address, HttpRequest request,
--- a/tests/auto/cell/cell_member_fixture.h
+++ b/tests/auto/cell/cell_member_fixture.h
@@ -23,9 +23,13 @@
                                            jobs::RunCommand command,
                                            std::int64_t fencing_token,
                                            std::int64_t deadline_ms) override;
+  void Disconnect(const std::string& address) override {
+    disconnected.push_back(address);
+  }
 
   std::vector<Renewal> renewals;
   std::vector<jobs::RunCommand> commands;
+  std::vector<std::string> disconnected;  ///< Addresses.
   /// The answer of VMs without a report.
   RenewalFailure failure = RenewalFailure::kNoAnswer;
   /// Whether the VM does not answer renewals for now. May be empty.
--- a/tests/auto/cell/cell_owner_test.cc
+++ b/tests/auto/cell/cell_owner_test.cc
@@ -54,6 +54,21 @@
   CHECK(!fixture.member->Owns());
 }
 
+TEST_CASE("an owner that has stopped holds no connections to VMs") {
+  // Those of former owners took up all connections of the VMs, so that the next
+  // owner reached none and ran no accepted job.
+  CellMemberFixture fixture;
+  fixture.AddVm("vm");
+  fixture.AddVm("other");
+  fixture.BecomeOwner();
+  fixture.PumpFor(Millis(20));
+  REQUIRE(fixture.vms.disconnected.empty());
+  fixture.clock.Advance(kSettings.expiry + Millis(1));
+  fixture.PumpFor(Millis(50));
+  REQUIRE(!fixture.member->Owns());
+  CHECK(fixture.vms.disconnected.size() == 2);
+}
+
 /// Returns the highest number of a run end that the journal holds.
 static std::int64_t NewestJournaledEnd(CellMemberFixture& fixture) {
   std::int64_t newest = 0;
--- a/tests/auto/net/http_client_idle_test.cc
+++ b/tests/auto/net/http_client_idle_test.cc
@@ -115,3 +115,107 @@
   REQUIRE(!IsOk(*next));
   CHECK(ErrorOf(*next).step == "connect");
 }
+
+/// Answers each request on any number of connections, and counts those open.
+static asio::awaitable<void> ServeAll(Tcp::acceptor& acceptor, int& open) {
+  const auto serve = [&open](Tcp::socket socket) -> asio::awaitable<void> {
+    ++open;
+    try {
+      for (;;) co_await RespondOnce(socket);
+    } catch (const boost::system::system_error&) {
+      --open;  // The client has closed the connection.
+    }
+  };
+  for (;;) {
+    asio::co_spawn(acceptor.get_executor(),
+                   serve(co_await acceptor.async_accept(asio::use_awaitable)),
+                   asio::detached);
+  }
+}
+
+/// A client with a peer that counts its connections.
+struct CountedConnections {
+  explicit CountedConnections(net::HttpClientOptions options)
+      : client(context, options) {
+    asio::co_spawn(context, ServeAll(peer.acceptor, open), asio::detached);
+    asio::co_spawn(context, ServeAll(other.acceptor, open_to_other),
+                   asio::detached);
+  }
+
+  void Call(const std::string& address, int calls = 1) {
+    for (int i = 0; i < calls; ++i) {
+      asio::co_spawn(
+          context,
+          [&, address]() -> asio::awaitable<void> {
+            served +=
+                IsOk(co_await client.Call(address, MakeRequest(), kTimeout));
+          },
+          asio::detached);
+    }
+  }
+  void RunFor(Millis duration) {
+    context.restart();
+    context.run_for(std::chrono::milliseconds(duration.count));
+  }
+
+  asio::io_context context;
+  Peer peer{context};
+  Peer other{context};
+  net::HttpClient client;
+  int open = 0;
+  int open_to_other = 0;
+  int served = 0;
+};
+
+TEST_CASE("idle connections to a peer are closed for their age") {
+  // Those of former owners took up all connections of VMs, so that the present
+  // owner could not reach them.
+  net::HttpClientOptions options;
+  options.max_idle_age = Millis(200);
+  CountedConnections connections(options);
+  connections.Call(connections.peer.address, 4);
+  connections.RunFor(Millis(100));
+  REQUIRE(connections.open == 4);
+  connections.RunFor(Millis(600));
+  connections.Call(connections.other.address);
+  connections.RunFor(Millis(100));
+  CHECK(connections.open == 0);
+  CHECK(connections.open_to_other == 1);
+}
+
+TEST_CASE("the connections to a peer are closed once they are not needed") {
+  // An owner that is replaced must not hold the connections of VMs.
+  CountedConnections connections({});
+  connections.Call(connections.peer.address, 3);
+  connections.RunFor(Millis(100));
+  REQUIRE(connections.open == 3);
+  connections.client.Disconnect(connections.peer.address);
+  connections.RunFor(Millis(100));
+  CHECK(connections.open == 0);
+  connections.Call(connections.peer.address);
+  connections.client.Disconnect(connections.peer.address);
+  connections.RunFor(Millis(100));
+  CHECK(connections.served == 4);
+}
+
+TEST_CASE("a call under way when its peer is disconnected keeps nothing open") {
+  // A renewal of a former owner is a long poll, which ends after it.
+  CountedConnections connections({});
+  connections.Call(connections.peer.address);
+  while (connections.open == 0) connections.context.run_one();
+  connections.client.Disconnect(connections.peer.address);
+  connections.RunFor(Millis(100));
+  CHECK(connections.served == 1);
+  CHECK(connections.open == 0);
+}
+
+TEST_CASE("a client opens no more connections to a peer than it may") {
+  // Nine entries that own a cell in turn share the connections of its VMs.
+  net::HttpClientOptions options;
+  options.max_connections_per_peer = 2;
+  CountedConnections connections(options);
+  connections.Call(connections.peer.address, 20);
+  connections.RunFor(Millis(300));
+  CHECK(connections.open == 2);
+  CHECK(connections.served == 20);
+}
--- a/tests/sim/simulated_vm_client.h
+++ b/tests/sim/simulated_vm_client.h
@@ -34,6 +34,7 @@
   net::asio::awaitable<cell::CommandAnswer> Send(
       jobs::VmListing vm, jobs::RunCommand command, std::int64_t fencing_token,
       std::int64_t deadline_ms) override;
+  void Disconnect(const std::string&) override {}
 
  private:
   net::asio::awaitable<std::optional<cell::RenewalAnswer>> ExecuteRenewal(
