Successors know of the long lease that a restarted worker may hold

Cause: a call that was meant for a VM's former worker names a deadline on that one's clock. The next worker reads it as far ahead and grants its longest lease, hold_max_ms. Vm::ReplaceWorker charged that, in the memory of one owner. The next owner bounded the lease by lease_duration.

No run is started there before that is durable, and a successor waits for the longest lease from the time when it read the record, also where it reaches the VM in between. The mark goes as soon as the owner's own leases last as long. Owner records name the worker whose lease they bound, so that a bound from before the restart does not hold for the new one, and an exact one still does.

--- a/src/libs/cell/cell_member.cc
+++ b/src/libs/cell/cell_member.cc
@@ -100,7 +100,8 @@
     const std::vector<UnreachableVmRecord>& records, Millis now) {
   std::vector<jobs::UnreachableVm> vms;
   for (const UnreachableVmRecord& vm : records)
-    vms.push_back({vm.vm, now + Millis(vm.lease_remaining_ms)});
+    vms.push_back(
+        {vm.vm, now + Millis(vm.lease_remaining_ms), vm.worker_start_ms});
   return vms;
 }
 
@@ -109,7 +110,7 @@
   std::vector<UnreachableVmRecord> records;
   for (const jobs::UnreachableVm& vm : unreachable_vms) {
     const Millis left = std::max(vm.lease_expiry - now, Millis(0));
-    records.push_back({vm.vm, left.count});
+    records.push_back({vm.vm, left.count, vm.worker_start_ms});
   }
   return records;
 }
--- a/src/libs/cell/owner_record.h
+++ b/src/libs/cell/owner_record.h
@@ -33,10 +33,12 @@
   std::string vm;
   /// Upper bound of its remaining lease when the record was written.
   std::int64_t lease_remaining_ms = 0;
+  /// Start of the worker that holds the lease, in Unix ms; 0: unknown.
+  std::int64_t worker_start_ms = 0;
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
-    archive(self.vm, self.lease_remaining_ms);
+    archive(self.vm, self.lease_remaining_ms, self.worker_start_ms);
   }
 };
 
--- a/src/libs/jobs/job_progress.h
+++ b/src/libs/jobs/job_progress.h
@@ -107,10 +107,14 @@
   std::string address = {};
   /// See VmReport::worker_start_ms. Each worker numbers its run ends anew.
   std::int64_t worker_start_ms = 0;
+  /// Calls that were meant for a former worker may have given this one the
+  /// longest lease that VMs grant.
+  bool may_hold_long_lease = false;
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
-    archive(self.last_end, self.address, self.worker_start_ms);
+    archive(self.last_end, self.address, self.worker_start_ms,
+            self.may_hold_long_lease);
   }
 };
 
--- a/src/libs/jobs/placer.cc
+++ b/src/libs/jobs/placer.cc
@@ -65,7 +65,7 @@
   if (!vm.listed) return PlacementRefusal::kUnlisted;
   if (!vm.reachable || vm.lease_expired) return PlacementRefusal::kUnreachable;
   if (vm.lease_bound_recorded) return PlacementRefusal::kLeaseBound;
-  if (!vm.in_journal) return PlacementRefusal::kNotInJournal;
+  if (!vm.IsRecorded()) return PlacementRefusal::kNotInJournal;
   if (vm.listing.draining) return PlacementRefusal::kDraining;
   if (closures_.IsClosed(vm.listing.data_center))
     return PlacementRefusal::kClosedDataCenter;
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -109,6 +109,10 @@
   vm.SetWorkerStart(record.worker_start_ms);
   vm.in_journal = true;
   vm.restored = true;
+  // The worker was known before this owner replaced the one that wrote the
+  // record, so its longest lease has begun by now.
+  if (record.may_hold_long_lease)
+    vm.InheritLongLease(now + Vm::MaxDurationOf(settings_.max_vm_lease));
   lease_authority_.OnVmRestored();
 }
 
@@ -123,17 +127,39 @@
   for (auto& [id, vm] : vms_) vm->BoundInheritedLease(lease_expiry);
 }
 
+/// Applies a bound that an earlier owner has recorded. It may be from before
+/// the VM's worker started again, and so hold for the former one only.
+static void ApplyRecordedBound(Vm& vm, const UnreachableVm& recorded) {
+  vm.BoundInheritedLease(recorded.lease_expiry);
+  const bool is_of_present_worker =
+      vm.worker_start_ms > 0 && recorded.worker_start_ms == vm.worker_start_ms;
+  if (is_of_present_worker) vm.BoundLongLease(recorded.lease_expiry);
+}
+
 void Scheduler::BoundLeaseExpiry(const UnreachableVm& unreachable) {
   recorded_lease_expiries_[unreachable.vm] = unreachable.lease_expiry;
   Vm* vm = FindVm(unreachable.vm);
   if (!vm) return;
-  vm->BoundInheritedLease(unreachable.lease_expiry);
+  ApplyRecordedBound(*vm, unreachable);
   vm->lease_bound_recorded = true;
 }
 
 void Scheduler::BoundLeaseOfUnreachedVm(const UnreachableVm& unreached) {
   Vm* vm = FindVm(unreached.vm);
-  if (vm) vm->BoundInheritedLease(unreached.lease_expiry);
+  if (vm) ApplyRecordedBound(*vm, unreached);
+}
+
+void Scheduler::ExpectLongLease(Vm& vm, Millis now) {
+  if (settings_.max_vm_lease <= settings_.lease_duration) return;
+  vm.InheritLongLease(now + Vm::MaxDurationOf(settings_.max_vm_lease));
+  vm.long_lease_batch = taken_batches_ + 1;
+  dirty_vms_.try_emplace(vm.listing.id, vm.last_end);
+  urgent_changes_ = true;
+}
+
+void Scheduler::ForgetLongLease(Vm& vm) {
+  vm.long_lease_until = Millis(0);
+  dirty_vms_.try_emplace(vm.listing.id, vm.last_end);
 }
 
 bool Scheduler::IsUnreachableForLong(const Vm& vm, Millis now) const {
@@ -146,7 +172,7 @@
   for (auto& [id, vm] : vms_) {
     if (!IsUnreachableForLong(*vm, now)) continue;
     vm->lease_bound_recorded = true;
-    unreachable.push_back({id, vm->LatestLeaseExpiry()});
+    unreachable.push_back({id, vm->LatestLeaseExpiry(), vm->worker_start_ms});
   }
   return unreachable;
 }
@@ -155,7 +181,7 @@
   std::vector<UnreachableVm> unreached;
   for (const auto& [id, vm] : vms_) {
     if (!vm->reachable && !IsUnreachableForLong(*vm, now))
-      unreached.push_back({id, vm->LatestLeaseExpiry()});
+      unreached.push_back({id, vm->LatestLeaseExpiry(), vm->worker_start_ms});
   }
   return unreached;
 }
@@ -278,7 +304,8 @@
     const std::int64_t end = LastEndToRecord(vm, newest_end);
     Vm& known = *FindVm(vm);
     if (known.journal_batch == 0) known.journal_batch = batch.number;
-    const VmRecord record{end, known.listing.address, known.worker_start_ms};
+    const VmRecord record{end, known.listing.address, known.worker_start_ms,
+                          known.long_lease_until > Millis(0)};
     batch.entries.push_back({"v" + vm, records::Encode(record)});
     batch.ends[vm] = {known.worker_start_ms, end};
   }
@@ -309,6 +336,7 @@
         vm && (vm->in_journal || vm->journal_batch == batch.number);
     if (!is_listed_by) continue;
     vm->in_journal = true;
+    if (vm->long_lease_batch <= batch.number) vm->long_lease_batch = 0;
     if (vm->worker_start_ms == end.worker_start_ms)
       vm->durable_end = end.number;
   }
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -167,7 +167,8 @@
   int PendingJobs(std::string_view queue) const;
 
   /// Whether a start command that was planned for the VM may still be sent: it
-  /// has not left or begun to drain since, and its data center is open.
+  /// has not left or begun to drain since, its data center is open, and the
+  /// journal tells of a long lease that its worker may hold.
   bool MaySendStart(const std::string& vm) const;
 
   /// Returns what has changed since the last call, for the journal. The entries
@@ -393,6 +394,11 @@
   /// VMs to others.
   bool MayIsolateVm(Millis now) const;
   void ProcessExpiredLeases(Millis now);
+  /// The VM's worker may hold the longest lease that VMs grant. Successors have
+  /// to know it before runs are started there.
+  void ExpectLongLease(Vm& vm, Millis now);
+  /// The owner's own leases last as long.
+  void ForgetLongLease(Vm& vm);
   VmWait WaitOf(const Vm& vm, Millis now) const;
   VmReach ReachOfVms(Millis now) const;
   /// Whether the VM has been unreachable for long enough to be recorded.
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -8,6 +8,10 @@
 std::int64_t Scheduler::NextDeadline(const std::string& vm, Millis now) {
   Vm* known = FindVm(vm);
   if (!known) return 0;
+  const bool ends_no_later =
+      known->long_lease_until > Millis(0) &&
+      known->long_lease_until <= now + settings_.lease_duration;
+  if (ends_no_later) ForgetLongLease(*known);
   const auto deadline = known->LeaseDeadline(settings_.lease_duration, now);
   // The lease of an unreachable VM must expire, so that its runs can be started
   // elsewhere.
@@ -55,6 +59,8 @@
   std::optional<RunEventKind> void_by;
   if (expired_by_clock) void_by = RunEventKind::kVoidByClock;
   if (vm->lease_expired) void_by = RunEventKind::kVoidByLeaseBound;
+  const bool is_first = vm->known_since == Millis(0);
+  if (is_first) vm->TakeOverLongLease(now);
   // Run ends from before the lease expired that were not acknowledged are void.
   std::int64_t last_expiry = 0;
   for (const EndedRunReport& row : report.ended) {
--- a/src/libs/jobs/scheduler_status.cc
+++ b/src/libs/jobs/scheduler_status.cc
@@ -182,6 +182,8 @@
 bool Scheduler::MaySendStart(const std::string& vm) const {
   const auto found = vms_.find(vm);
   if (found == vms_.end() || !found->second->listed) return false;
+  // A worker that has started again since the start was planned.
+  if (found->second->long_lease_batch > 0) return false;
   const VmListing& listing = found->second->listing;
   return !listing.draining && !closures_.IsClosed(listing.data_center);
 }
--- a/src/libs/jobs/scheduler_workers.cc
+++ b/src/libs/jobs/scheduler_workers.cc
@@ -65,6 +65,7 @@
   const std::string& id = vm.listing.id;
   std::erase_if(held_ends_, [&](const HeldEnd& end) { return end.vm == id; });
   dirty_vms_[id] = 0;
+  ExpectLongLease(vm, now);
 }
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/unreachable_vm.h
+++ b/src/libs/jobs/unreachable_vm.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPUR_JOBS_UNREACHABLE_VM_H_
 #define BASILSPUR_JOBS_UNREACHABLE_VM_H_
 
+#include <cstdint>
 #include <string>
 
 #include "base/clock.h"
@@ -13,6 +14,8 @@
 struct UnreachableVm {
   std::string vm;
   Millis lease_expiry;  ///< On the owner's clock; no run executes after it.
+  /// Start of the worker that holds the lease, in Unix ms; 0: unknown.
+  std::int64_t worker_start_ms = 0;
 };
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -41,6 +41,20 @@
     inherited_lease_expiry_ = lease_expiry;
 }
 
+void Vm::BoundLongLease(Millis lease_expiry) {
+  long_lease_until = std::min(long_lease_until, lease_expiry);
+}
+
+void Vm::TakeOverLongLease(Millis now) {
+  if (long_lease_until > now)
+    RecordLeaseDeadline(clock_.time_ms + (long_lease_until - now).count);
+}
+
+Millis Vm::MaxDurationOf(Millis lease) {
+  return Millis(lease.count * 100 / (100 - kMaxClockDriftPercent)) +
+         kLeaseExpiryMargin;
+}
+
 void Vm::RecordLeaseDeadline(std::int64_t deadline_ms) {
   clock_.max_deadline_ms = std::max(clock_.max_deadline_ms, deadline_ms);
 }
@@ -100,11 +114,13 @@
 
 Millis Vm::LatestLeaseExpiry() const {
   // Until this owner has set a deadline, that of an earlier owner applies.
-  if (!clock_.known || clock_.max_deadline_ms == 0)
-    return inherited_lease_expiry_;
-  const std::int64_t left = clock_.max_deadline_ms - clock_.time_ms;
-  return clock_.read_at + Millis(left * 100 / (100 - kMaxClockDriftPercent)) +
-         kLeaseExpiryMargin;
+  const bool is_inherited = !clock_.known || clock_.max_deadline_ms == 0;
+  const Millis expiry =
+      is_inherited
+          ? inherited_lease_expiry_
+          : clock_.read_at +
+                MaxDurationOf(Millis(clock_.max_deadline_ms - clock_.time_ms));
+  return std::max(expiry, long_lease_until);
 }
 
 records::Resources Vm::Free() const {
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -86,6 +86,19 @@
   /// Sets an upper bound for the expiry of leases of earlier owners, unless an
   /// earlier bound is already known.
   void BoundInheritedLease(Millis lease_expiry);
+  /// Calls that were meant for a former worker may have leased the present one
+  /// until `lease_expiry`.
+  void InheritLongLease(Millis lease_expiry) {
+    long_lease_until = lease_expiry;
+  }
+  /// The lease of an earlier owner expires by then, and it was known which
+  /// worker holds it.
+  void BoundLongLease(Millis lease_expiry);
+  /// Call with the first report to this owner: a lease that calls for a former
+  /// worker have given counts as given by this owner.
+  void TakeOverLongLease(Millis now);
+  /// Returns how long a lease of this length on the VM's clock may last.
+  static Millis MaxDurationOf(Millis lease);
   /// Records that a command or renewal with this deadline is being sent.
   void RecordLeaseDeadline(std::int64_t deadline_ms);
   /// Updates the estimate of the VM's clock from an answer that was received at
@@ -123,6 +136,10 @@
                      Millis max_lease, Millis now);
   bool HasDirectoryEntry() const { return has_entry_; }
 
+  /// Whether a successor would know all that it has to know of the VM before
+  /// runs are started there.
+  bool IsRecorded() const { return in_journal && long_lease_batch == 0; }
+
   void Add(const RunKey& key, const RunOnVm& run);
   void Remove(const RunKey& key);
 
--- a/src/libs/jobs/vm_worker.h
+++ b/src/libs/jobs/vm_worker.h
@@ -35,6 +35,13 @@
   int consecutive_failures = 0;
   Millis quarantined_until;
   Millis last_start_at;  ///< When a run was last started.
+  /// Calls that were meant for a former worker may have given this one a lease
+  /// that is longer than the owner's. It has expired by this time; 0: there is
+  /// no such lease, or the owner's lasts as long.
+  Millis long_lease_until;
+  /// Number of the journal batch that tells successors of such a lease. No run
+  /// is started before it is durable; 0: it is.
+  std::int64_t long_lease_batch = 0;
   std::optional<Reservation> reservation;
   Millis pace_changed_at;    ///< Time of the last pace change of any run.
   Millis tails_observed_at;  ///< Time of the last tail latency observation.
--- a/tests/auto/jobs/worker_restarts_test.cc
+++ b/tests/auto/jobs/worker_restarts_test.cc
@@ -158,6 +158,7 @@
   report.worker_start_ms = 1'600'000'002'000;
   next->OnReport("vm", report, fixture.now, fixture.now);
   CHECK(next->NewestProcessedEnd("vm") == 0);
+  next->OnDurable(next->TakeBatch(fixture.wall_ms));
   // The former worker had confirmed the start, and its runs ended with it.
   const std::vector<RunCommand> commands =
       next->Plan(fixture.wall_ms, fixture.now);
@@ -171,8 +172,8 @@
   fixture.AddVm("vm");
   RunJob(fixture, kFirst, 1);
   fixture.Accept(kSecond, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
+  // The owner has not heard of the new worker when it starts the run there.
   fixture.RestartWorker("vm");
-  fixture.Report("vm", {});
   const RunCommand start = StartOf(fixture.PlanAndConfirm());
   const std::unique_ptr<Scheduler> next = fixture.TakeOver(10'001);
   VmReport report;
