Starts and leases are for one lifetime of a VM's worker

Cause: a start whose connection broke was sent again on a new connection, where the next worker listens; a call on a further connection reached it even before a connection had been seen to break. That worker can't tell such a call from one that is meant for it, reads the deadline as far ahead, and holds the run for hold_max_ms. An owner that has not seen the new worker yet charges nothing for it.

Change: a connection leads to one process until it ends. So the first request on each one asks which worker answers (net::Introduction): renewals are sent without a deadline or an acknowledgement of ends there, and a start is sent only if the worker is the one that it is meant for. If not, the command counts as not sent, and the VM as unreachable until the new worker has reported. The former rule, other bodies once a connection was seen to break, is replaced by it. An owner that drains does not extend the lease of a worker that it does not know.

Measured: "no start for a former worker is sent to the next one" (new), and "the first renewal that reaches a worker that has started again...", which now asks for the same on the first connection to a VM, too; on the code before, the first renewal there carries a deadline. test_net, test_adapter, test_cell and test_jobs pass.

--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -255,6 +255,9 @@
   net::asio::awaitable<bool> WriteBatch(const jobs::JournalBatch& batch);
   net::asio::awaitable<void> RunRenewals(std::string id, Millis delay);
   net::asio::awaitable<bool> RenewOnce(const jobs::VmListing& listing);
+  /// Whether a worker has answered that has started since the last report.
+  bool IsOfOtherWorker(const std::string& vm,
+                       const RenewalAnswer& answer) const;
   /// A renewal of the VM's lease was not answered.
   void HandleOutage(const std::string& vm, jobs::VmOutage outage);
   void LogVmLosses();
--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -38,8 +38,9 @@
                                 sent, sent);
     co_return;
   }
-  const CommandAnswer answer =
-      co_await vm_client_.Send(*vm, command, ownership_.token, deadline);
+  const CommandContext context{ownership_.token, deadline,
+                               scheduler_.WorkerOf(command.vm)};
+  const CommandAnswer answer = co_await vm_client_.Send(*vm, command, context);
   if (stopped_) co_return;
   if (answer.outcome == jobs::RunCommandOutcome::kStaleToken) {
     HandleFenced();
@@ -126,7 +127,7 @@
 
 void CellOwner::LogWorkerStart(const std::string& vm,
                                const jobs::VmReport& report) const {
-  const std::int64_t known_start = scheduler_.WorkerStartOf(vm);
+  const std::int64_t known_start = scheduler_.WorkerOf(vm).start_ms;
   if (known_start == 0 || report.worker_start_ms == known_start) return;
   const std::int64_t known_end = scheduler_.NewestProcessedEnd(vm);
   const auto skipped =
@@ -147,6 +148,13 @@
   return failure && *failure == expected;
 }
 
+bool CellOwner::IsOfOtherWorker(const std::string& vm,
+                                const RenewalAnswer& answer) const {
+  const auto* report = std::get_if<jobs::VmReport>(&answer);
+  return report && !scheduler_.WorkerOf(vm).Matches(report->worker_start_ms,
+                                                    report->clock_ms);
+}
+
 net::asio::awaitable<bool> CellOwner::RenewOnce(const jobs::VmListing& vm) {
   if (!CheckMayAct()) co_return false;
   const Millis sent = Now();
@@ -159,8 +167,10 @@
   const RenewalAnswer answer = co_await vm_client_.Renew(vm, renewal);
   if (stopped_) co_return false;
   if (draining_ && !IsFailure(answer, RenewalFailure::kStaleToken)) {
-    // The next owner can't see which runs may have crashed the VM.
-    if (IsFailure(answer, RenewalFailure::kDisconnected)) {
+    // The next owner can't see which runs may have crashed the VM. A worker
+    // that has started again gets no lease meant for the former one.
+    if (IsFailure(answer, RenewalFailure::kDisconnected) ||
+        IsOfOtherWorker(vm.id, answer)) {
       HandleOutage(vm.id, jobs::VmOutage::kDisconnected);
       NotifyJournalWriter();
     }
--- a/src/libs/cell/vm_client.h
+++ b/src/libs/cell/vm_client.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "base/clock.h"
+#include "jobs/known_worker.h"
 #include "jobs/run_command.h"
 #include "jobs/vm_listing.h"
 #include "jobs/vm_report.h"
@@ -13,7 +14,9 @@
 
 namespace basilspur::cell {
 
-/// Extends the lease of all runs of a VM and requests a report of its runs.
+/// Extends the lease of all runs of a VM and requests a report of its runs. On
+/// a connection that may lead to another lifetime of the VM's worker, only the
+/// report is requested.
 struct Renewal {
   std::int64_t fencing_token = 0;
   /// New deadline on the VM's clock. 0 does not extend the lease.
@@ -33,6 +36,16 @@
 
 using RenewalAnswer = std::variant<jobs::VmReport, RenewalFailure>;
 
+/// With what a command is sent, and to which lifetime of the VM's worker.
+struct CommandContext {
+  std::int64_t fencing_token = 0;
+  /// The lease's deadline on the worker's clock, for starts only.
+  std::int64_t deadline_ms = 0;
+  /// A start is not sent to another one, whose clock would read the deadline as
+  /// far ahead.
+  jobs::KnownWorker worker;
+};
+
 struct CommandAnswer {
   jobs::RunCommandOutcome outcome = jobs::RunCommandOutcome::kUnknown;
   std::int64_t clock_ms = 0;  ///< The VM's clock; 0 if not reported.
@@ -48,10 +61,9 @@
   virtual net::asio::awaitable<RenewalAnswer> Renew(jobs::VmListing vm,
                                                     Renewal renewal) = 0;
 
-  /// `deadline_ms` is the lease's deadline and is used for starts only.
-  virtual net::asio::awaitable<CommandAnswer> Send(
-      jobs::VmListing vm, jobs::RunCommand command, std::int64_t fencing_token,
-      std::int64_t deadline_ms) = 0;
+  virtual net::asio::awaitable<CommandAnswer> Send(jobs::VmListing vm,
+                                                   jobs::RunCommand command,
+                                                   CommandContext context) = 0;
 
   /// No call to the address follows for now: an owner that has stopped, or the
   /// VM is gone. VMs take a limited number of connections.
--- a/src/libs/jobs/run_command.h
+++ b/src/libs/jobs/run_command.h
@@ -36,7 +36,8 @@
   /// The VM has restarted in the meantime. Its next incarnation has answered
   /// and has not carried the command out.
   kRestarted,
-  kUnknown,  ///< No answer; it may be carried out, even later.
+  kOtherWorker,  ///< Not sent: the VM's worker has started again.
+  kUnknown,      ///< No answer; it may be carried out, even later.
 };
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -24,6 +24,7 @@
 #include "jobs/job_turn.h"
 #include "jobs/journal_batch.h"
 #include "jobs/known_run.h"
+#include "jobs/known_worker.h"
 #include "jobs/late_job_order.h"
 #include "jobs/lease_authority.h"
 #include "jobs/long_running_wait.h"
@@ -190,8 +191,8 @@
   std::int64_t EndToAcknowledge(const std::string& vm) const;
   /// Number of the VM's newest run end that was processed.
   std::int64_t NewestProcessedEnd(const std::string& vm) const;
-  /// When the worker that the VM last reported started, in Unix ms; 0: none.
-  std::int64_t WorkerStartOf(const std::string& vm) const;
+  /// The worker that the VM last reported.
+  KnownWorker WorkerOf(const std::string& vm) const;
   /// True if run ends were processed that are not durable yet, and so must not
   /// be acknowledged. The next batches make them durable.
   bool HasNonDurableEnds(const std::string& vm) const;
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -34,9 +34,9 @@
   return found == vms_.end() ? 0 : found->second->last_end;
 }
 
-std::int64_t Scheduler::WorkerStartOf(const std::string& vm) const {
+KnownWorker Scheduler::WorkerOf(const std::string& vm) const {
   const auto found = vms_.find(vm);
-  return found == vms_.end() ? 0 : found->second->worker_start_ms;
+  return found == vms_.end() ? KnownWorker() : found->second->Worker();
 }
 
 bool Scheduler::HasNonDurableEnds(const std::string& vm) const {
@@ -283,6 +283,13 @@
     if (OnCommandToRestartedVm(*vm, command, run, sent, now)) return;
     outcome = RunCommandOutcome::kUnknown;
   }
+  if (outcome == RunCommandOutcome::kOtherWorker) {
+    // Nothing is started there, and no lease extended, until the new worker has
+    // reported.
+    if (vm->IsPresentCall(sent))
+      OnVmUnreachable(command.vm, VmOutage::kDisconnected, now);
+    outcome = RunCommandOutcome::kNotSent;
+  }
   if (!run) return;
   if (command.kind == RunCommandKind::kStop) {
     if (outcome != RunCommandOutcome::kDone) return;
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "jobs/known_worker.h"
 #include "jobs/planned_start.h"
 #include "jobs/reservation.h"
 #include "jobs/step_spec.h"
@@ -105,6 +106,7 @@
   /// `now` to a call sent at `sent`. Returns true if the lease had expired
   /// before the call reached the VM.
   bool UpdateClock(std::int64_t clock_ms, Millis sent, Millis now);
+  KnownWorker Worker() const { return {worker_start_ms, clock_.time_ms}; }
   /// Whether the answer to a call that was sent at `sent` is of another worker:
   /// a worker's clock never goes back.
   bool IsClockOfOther(std::int64_t clock_ms, Millis sent) const {
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <functional>
 #include <map>
 #include <optional>
 #include <utility>
@@ -35,6 +36,7 @@
 
 static constexpr char kLimitStep[] = "limit";
 static constexpr char kConnectStep[] = "connect";
+static constexpr char kIntroduceStep[] = "introduce";
 static constexpr char kSendStep[] = "send";
 static constexpr char kReceiveStep[] = "receive";
 /// Initial capacity of the read buffer. Smaller reads of a large response would
@@ -57,6 +59,20 @@
   return failure == asio::error::would_block;
 }
 
+struct HttpClient::Connection {
+  Stream stream;
+  bool introduced = false;  ///< An introduction was answered on it.
+  bool keep = false;        ///< It may serve another call.
+  Millis idle_since;
+};
+
+struct HttpClient::Message {
+  std::string address;
+  HttpRequest request;
+  Millis timeout;
+  std::optional<Introduction> introduction;
+};
+
 class HttpClient::Private {
  public:
   Private(asio::io_context& context, HttpClientOptions options)
@@ -84,40 +100,32 @@
     found->second.disconnecting = true;
   }
 
-  /// Returns a connection that the peer has not closed, as far as is known.
-  Stream TakeIdle(const std::string& address) {
-    Peer& peer = peers_[address];
-    while (!peer.idle.empty()) {
-      Stream stream = std::move(peer.idle.back().stream);
-      peer.idle.pop_back();
-      if (IsOpen(*stream)) return stream;
-      peer.lost_connection = true;
+  /// Returns a connection that the peer has not closed, as far as is known;
+  /// an introduced one, if there is one.
+  std::optional<Connection> TakeIdle(const std::string& address) {
+    std::vector<Connection>& idle = peers_[address].idle;
+    const auto is_introduced = [](const Connection& connection) {
+      return connection.introduced;
+    };
+    std::stable_partition(idle.begin(), idle.end(), std::not_fn(is_introduced));
+    while (!idle.empty()) {
+      Connection connection = std::move(idle.back());
+      idle.pop_back();
+      if (IsOpen(*connection.stream)) return connection;
     }
-    return nullptr;
-  }
-
-  /// Whether a connection to the peer was lost and nothing has shown since
-  /// which process listens there.
-  bool HasLostConnection(const std::string& address) const {
-    const auto found = peers_.find(address);
-    return found != peers_.end() && found->second.lost_connection;
-  }
-  void SetLostConnection(const std::string& address, bool lost) {
-    peers_[address].lost_connection = lost;
+    return std::nullopt;
   }
 
   /// The peer may have become unreachable: what is sent on its other idle
   /// connections might be executed late or never.
-  void DropIdle(const std::string& address) {
-    Peer& peer = peers_[address];
-    peer.idle.clear();
-    peer.lost_connection = true;
-  }
+  void DropIdle(const std::string& address) { peers_[address].idle.clear(); }
 
-  void PutIdle(const std::string& address, Stream stream) {
+  void PutIdle(const std::string& address, Connection connection) {
     Peer& peer = peers_[address];
-    if (peer.disconnecting || peer.idle.size() >= kMaxIdlePerPeer) return;
-    peer.idle.push_back({std::move(stream), Now()});
+    const bool has_room = peer.idle.size() < kMaxIdlePerPeer;
+    if (!connection.keep || peer.disconnecting || !has_room) return;
+    connection.idle_since = Now();
+    peer.idle.push_back(std::move(connection));
   }
 
   asio::awaitable<Result<Stream>> Connect(std::string address, Millis timeout) {
@@ -141,18 +149,43 @@
     co_return stream;
   }
 
-  asio::awaitable<Result<HttpResponse>> Exchange(beast::tcp_stream& stream,
-                                                 std::string address,
-                                                 const HttpRequest& request,
-                                                 Millis timeout,
-                                                 bool* keep_alive) {
+  /// Sends the message's request on a connection, after its introduction if
+  /// there has been none.
+  asio::awaitable<Result<HttpResponse>> Converse(Connection& connection,
+                                                 const Message& message) {
+    if (message.introduction && !connection.introduced) {
+      Result<HttpResponse> response =
+          co_await Exchange(connection, message, message.introduction->request);
+      if (!IsOk(response)) {
+        Error error = ErrorOf(response);
+        error.step = kIntroduceStep;
+        co_return error;
+      }
+      const AfterIntroduction next =
+          message.introduction->on_response(ValueOf(response));
+      connection.introduced = next != AfterIntroduction::kCloseConnection;
+      if (!connection.introduced) {
+        connection.keep = false;
+        ValueOf(response).is_from_other_process = true;
+      }
+      if (next != AfterIntroduction::kSendRequest) co_return response;
+    }
+    co_return co_await Exchange(connection, message, message.request);
+  }
+
+  asio::awaitable<Result<HttpResponse>> Exchange(Connection& connection,
+                                                 const Message& call,
+                                                 const HttpRequest& request) {
+    beast::tcp_stream& stream = *connection.stream;
+    const std::string& address = call.address;
+    connection.keep = false;
     http::request<http::string_body> message(
         http::string_to_verb(request.method), request.target, 11);
     message.set(http::field::host, address);
     for (const auto& [name, value] : request.headers) message.set(name, value);
     message.body() = request.body;
     message.prepare_payload();
-    stream.expires_after(std::chrono::milliseconds(timeout.count));
+    stream.expires_after(std::chrono::milliseconds(call.timeout.count));
     error_code failure;
     co_await http::async_write(
         stream, message, asio::redirect_error(asio::use_awaitable, failure));
@@ -173,7 +206,7 @@
       co_return Error{timed_out ? ErrorCode::kTimeout : ErrorCode::kUnavailable,
                       kReceiveStep, address, failure.message()};
     }
-    *keep_alive = parser.get().keep_alive();
+    connection.keep = parser.get().keep_alive();
     HttpResponse response;
     response.status = parser.get().result_int();
     response.body = std::move(parser.get().body());
@@ -185,19 +218,14 @@
   }
 
  private:
-  struct IdleConnection {
-    Stream stream;
-    Millis since;
-  };
   struct Peer {
-    std::vector<IdleConnection> idle;  ///< The one that was used last is last.
-    bool lost_connection = false;      ///< See HasLostConnection.
-    bool disconnecting = false;        ///< No call since Disconnect.
+    std::vector<Connection> idle;  ///< Of those alike, the newest is last.
+    bool disconnecting = false;    ///< No call since Disconnect.
   };
 
   void CloseOldIdle(Peer& peer) const {
-    std::erase_if(peer.idle, [&](const IdleConnection& connection) {
-      return Now() - connection.since > options_.max_idle_age;
+    std::erase_if(peer.idle, [&](const Connection& connection) {
+      return Now() - connection.idle_since > options_.max_idle_age;
     });
   }
 
@@ -263,7 +291,7 @@
 
 asio::awaitable<Result<HttpResponse>> HttpClient::Call(
     std::string address, HttpRequest request, Millis timeout,
-    std::optional<std::string> body_after_loss) {
+    std::optional<Introduction> introduction) {
   const std::shared_ptr<Private> d = d_;
   if (!d->Limiter().TryBegin(address)) {
     co_return Error{ErrorCode::kUnavailable, kLimitStep, address,
@@ -279,31 +307,21 @@
   const HeldSlot slot(d->Slots(), address);
   const Millis left =
       std::max(timeout - (d->Now() - started), kMinExchangeTime);
-  Result<HttpResponse> result = co_await CallAnyConnection(
-      d, address, std::move(request), left, std::move(body_after_loss));
+  const auto message = std::make_shared<Message>(
+      Message{address, std::move(request), left, std::move(introduction)});
+  Result<HttpResponse> result = co_await CallAnyConnection(d, message);
   call.outcome = OutcomeOf(result, timeout);
   co_return result;
 }
 
 asio::awaitable<Result<HttpResponse>> HttpClient::CallAnyConnection(
-    std::shared_ptr<Private> d, std::string address, HttpRequest request,
-    Millis timeout, std::optional<std::string> body_after_loss) {
-  bool keep_alive = false;
-  bool has_other_body = false;
-  const auto replace_body_after_loss = [&] {
-    if (!body_after_loss || !d->HasLostConnection(address)) return;
-    request.body = *body_after_loss;
-    has_other_body = true;
-  };
+    std::shared_ptr<Private> d, std::shared_ptr<const Message> message) {
+  const std::string& address = message->address;
   std::optional<Error> idle_error;
-  Stream idle = d->TakeIdle(address);
-  replace_body_after_loss();
-  if (idle) {
-    Result<HttpResponse> result =
-        co_await d->Exchange(*idle, address, request, timeout, &keep_alive);
+  if (std::optional<Connection> idle = d->TakeIdle(address)) {
+    Result<HttpResponse> result = co_await d->Converse(*idle, *message);
     if (IsOk(result)) {
-      if (has_other_body) d->SetLostConnection(address, false);
-      if (keep_alive) d->PutIdle(address, std::move(idle));
+      d->PutIdle(address, std::move(*idle));
       co_return result;
     }
     if (ErrorOf(result).code == ErrorCode::kTimeout) {
@@ -311,29 +329,24 @@
       co_return result;
     }
     if (ErrorOf(result).step == kReceiveStep) idle_error = ErrorOf(result);
-    d->SetLostConnection(address, true);
-    replace_body_after_loss();
   }
-  Result<Stream> connected = co_await d->Connect(address, timeout);
+  Result<Stream> connected = co_await d->Connect(address, message->timeout);
   if (!IsOk(connected)) {
-    d->SetLostConnection(address, true);
     // The peer may have processed the request that was sent on the broken
     // connection, so its error is reported instead of the failure to connect.
     if (idle_error) co_return *idle_error;
     co_return ErrorOf(connected);
   }
-  Stream stream = std::move(ValueOf(connected));
-  Result<HttpResponse> result =
-      co_await d->Exchange(*stream, address, request, timeout, &keep_alive);
+  Connection connection;
+  connection.stream = std::move(ValueOf(connected));
+  Result<HttpResponse> result = co_await d->Converse(connection, *message);
   if (IsOk(result)) {
+    d->PutIdle(address, std::move(connection));
     ValueOf(result).is_to_second_copy = idle_error.has_value();
-    if (has_other_body) d->SetLostConnection(address, false);
-    if (keep_alive) d->PutIdle(address, std::move(stream));
     co_return result;
   }
-  d->SetLostConnection(address, true);
   if (ErrorOf(result).code == ErrorCode::kTimeout) d->DropIdle(address);
-  if (idle_error && ErrorOf(result).step == kSendStep) co_return *idle_error;
+  if (idle_error && ErrorOf(result).step != kReceiveStep) co_return *idle_error;
   co_return result;
 }
 
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -10,6 +10,7 @@
 #include "base/result.h"
 #include "net/asio.h"
 #include "net/http_message.h"
+#include "net/introduction.h"
 
 namespace basilspur::net {
 
@@ -45,27 +46,28 @@
   /// connection could be established or it broke, kTimeout if the response did
   /// not arrive within `timeout` ms. The steps "limit", "connect" and "send"
   /// mean that the peer did not receive a complete request; "limit" is one of
-  /// those of HttpClientOptions.
+  /// those of HttpClientOptions. The same holds for "introduce": the
+  /// introduction was not answered.
   ///
-  /// `body_after_loss` is for a request whose body is meant for the process
-  /// that answered before. Once a connection to the peer has been lost, another
-  /// process may listen there, so the request has that body instead until such
-  /// a request was answered.
+  /// With an introduction, the request is only sent on a connection on which
+  /// one was answered, by this call or an earlier one.
   asio::awaitable<Result<HttpResponse>> Call(
       std::string address, HttpRequest request, Millis timeout,
-      std::optional<std::string> body_after_loss = std::nullopt);
+      std::optional<Introduction> introduction = std::nullopt);
   /// Closes the connections to the peer: idle ones at once, those of calls
   /// under way at the end of the call, unless a later call needs them.
   void Disconnect(const std::string& address);
 
  private:
+  struct Connection;
+  /// What a call sends, and for how long it waits for each response.
+  struct Message;
   class Private;
   class CountedCall;
   class HeldSlot;
   /// Sends the request on an idle connection or on a new one.
   static asio::awaitable<Result<HttpResponse>> CallAnyConnection(
-      std::shared_ptr<Private> d, std::string address, HttpRequest request,
-      Millis timeout, std::optional<std::string> body_after_loss);
+      std::shared_ptr<Private> d, std::shared_ptr<const Message> message);
 
   std::shared_ptr<Private> d_;
 };
--- a/src/libs/net/http_message.h
+++ b/src/libs/net/http_message.h
@@ -28,6 +28,9 @@
   /// Set by HttpClient: the response is to the second copy of the request.
   /// The peer may have processed the first one, or may still do so.
   bool is_to_second_copy = false;
+  /// Set by HttpClient: the response is to an Introduction whose connection was
+  /// closed, and no request was sent on that.
+  bool is_from_other_process = false;
 };
 
 }  // namespace basilspur::net
