A fencing token for each lifetime of a VM's worker

Cause: a call for a VM's former worker may be carried out seconds later, by the next one. Task, run and fencing token are those of the present owner, so nothing told it from a present call, and its lease counts from then: after the owner had charged its bound. One pair of runs: run 1 from 5.879 s on the restarted VM, lapsed at 11.882 s, 6 s later; run 2 elsewhere from 11.732 s.

Change: the token of calls to a VM is the owner's times a million, plus a number that rises with each worker of a VM that the owner sees. Nothing is started on a worker that has started again before it has answered a call with its own token: it then rejects all that was meant for the former one, and the report lists all that such calls have started. A rejection of a call for a former worker does not end the ownership.

What a late call does: a start, also one answered old or room, and a renewal prolong a lease until the token is known, which is charged; an acknowledgement of ends, a stop and a pace change nothing on a worker on which nothing was started.

Tests of restarted workers report twice before a run starts; what they check is the same.

--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -255,6 +255,9 @@
   net::asio::awaitable<bool> WriteBatch(const jobs::JournalBatch& batch);
   net::asio::awaitable<void> RunRenewals(std::string id, Millis delay);
   net::asio::awaitable<bool> RenewOnce(const jobs::VmListing& listing);
+  /// Returns the fencing token for calls to the VM. It is higher than that of
+  /// earlier owners, and rises when the VM's worker starts again.
+  std::int64_t FencingTokenFor(const std::string& vm) const;
   /// Whether a worker has answered that has started since the last report.
   bool IsOfOtherWorker(const std::string& vm,
                        const RenewalAnswer& answer) const;
@@ -310,6 +313,9 @@
   /// Logs the report if the VM's worker is not the one known so far.
   void LogWorkerStart(const std::string& vm,
                       const jobs::VmReport& report) const;
+  /// Logs that a worker that has started again is fenced, and what lease it may
+  /// hold.
+  void LogFencedWorker(const std::string& vm) const;
   void LogRunEnds(const std::string& vm, const jobs::VmReport& report) const;
   /// Logs a command that was not confirmed, and each stop.
   void LogCommand(const jobs::RunCommand& command,
--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -8,9 +8,17 @@
 
 static constexpr LogCategory kLog("cell");
 static constexpr Millis kDurableEndsTimeout(300);
+/// More than an owner sees workers of VMs. Products with offsets of the store's
+/// log stay below 2^53, so that each JSON parser reads them.
+static constexpr std::int64_t kFencingTokensPerOwner = 1'000'000;
 /// A VM with ends that are not acknowledged answers each renewal at once.
 static constexpr Millis kDrainingRenewalInterval(300);
 
+std::int64_t CellOwner::FencingTokenFor(const std::string& vm) const {
+  return ownership_.token * kFencingTokensPerOwner +
+         std::min(scheduler_.WorkerGeneration(vm), kFencingTokensPerOwner - 1);
+}
+
 net::asio::awaitable<void> CellOwner::SendCommand(jobs::RunCommand command) {
   const auto self = shared_from_this();
   const std::optional<jobs::VmListing> vm = scheduler_.Listing(command.vm);
@@ -38,13 +46,17 @@
                                 sent, sent);
     co_return;
   }
-  const CommandContext context{ownership_.token, deadline,
+  const CommandContext context{FencingTokenFor(command.vm), deadline,
                                scheduler_.WorkerOf(command.vm)};
-  const CommandAnswer answer = co_await vm_client_.Send(*vm, command, context);
+  CommandAnswer answer = co_await vm_client_.Send(*vm, command, context);
   if (stopped_) co_return;
   if (answer.outcome == jobs::RunCommandOutcome::kStaleToken) {
-    HandleFenced();
-    co_return;
+    if (context.fencing_token == FencingTokenFor(command.vm)) {
+      HandleFenced();
+      co_return;
+    }
+    // Meant for a former worker, and rejected by the present one.
+    answer.outcome = jobs::RunCommandOutcome::kNotSent;
   }
   scheduler_.OnCommandOutcome(command, answer.outcome, answer.clock_ms, sent,
                               Now());
@@ -143,6 +155,15 @@
             " runs=" + std::to_string(report.running.size()));
 }
 
+void CellOwner::LogFencedWorker(const std::string& vm) const {
+  const Millis left = scheduler_.LatestLeaseExpiry(vm) - Now();
+  kLog.Info("event=worker_fenced vm=" + vm +
+            " token=" + std::to_string(FencingTokenFor(vm)) +
+            " lease_left_ms=" + std::to_string(left.count) +
+            " reason=\"the worker rejects calls for the former one from now "
+            "on; runs start there once the journal tells of its lease\"");
+}
+
 static bool IsFailure(const RenewalAnswer& answer, RenewalFailure expected) {
   const auto* failure = std::get_if<RenewalFailure>(&answer);
   return failure && *failure == expected;
@@ -159,11 +180,12 @@
   if (!CheckMayAct()) co_return false;
   const Millis sent = Now();
   Renewal renewal;
-  renewal.fencing_token = ownership_.token;
+  renewal.fencing_token = FencingTokenFor(vm.id);
   renewal.deadline_ms = scheduler_.NextDeadline(vm.id, sent);
   renewal.acknowledged_end = scheduler_.EndToAcknowledge(vm.id);
   renewal.max_wait = RenewalWait(vm.id);
-  if (renewal.deadline_ms == 0) renewal.max_wait = Millis(0);
+  if (renewal.deadline_ms == 0 || !scheduler_.IsFenced(vm.id))
+    renewal.max_wait = Millis(0);
   const RenewalAnswer answer = co_await vm_client_.Renew(vm, renewal);
   if (stopped_) co_return false;
   if (draining_ && !IsFailure(answer, RenewalFailure::kStaleToken)) {
@@ -181,7 +203,9 @@
   if (const auto* report = std::get_if<jobs::VmReport>(&answer)) {
     LogWorkerStart(vm.id, *report);
     LogRunEnds(vm.id, *report);
+    const bool was_fenced = scheduler_.IsFenced(vm.id);
     scheduler_.OnReport(vm.id, *report, sent, Now());
+    if (!was_fenced && scheduler_.IsFenced(vm.id)) LogFencedWorker(vm.id);
     SchedulePlan();
     co_return true;
   }
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -47,6 +47,8 @@
   }
   auto vm = std::make_unique<Vm>(listing);
   vm->unreachable_since = now;
+  // It may have been known before, and been removed since.
+  vm->worker_generation = ++worker_generations_;
   const auto recorded_expiry = recorded_lease_expiries_.find(listing.id);
   vm->lease_bound_recorded = recorded_expiry != recorded_lease_expiries_.end();
   vms_[listing.id] = std::move(vm);
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -168,8 +168,8 @@
   int PendingJobs(std::string_view queue) const;
 
   /// Whether a start command that was planned for the VM may still be sent: it
-  /// has not left or begun to drain since, its data center is open, and the
-  /// journal tells of a long lease that its worker may hold.
+  /// has not left or begun to drain since, its data center is open, and a
+  /// worker that has started again is fenced and its lease in the journal.
   bool MaySendStart(const std::string& vm) const;
 
   /// Returns what has changed since the last call, for the journal. The entries
@@ -193,6 +193,17 @@
   std::int64_t NewestProcessedEnd(const std::string& vm) const;
   /// The worker that the VM last reported.
   KnownWorker WorkerOf(const std::string& vm) const;
+  /// Number of the VM's worker, for the fencing tokens of calls. It rises when
+  /// the worker starts again, so that the new one can reject calls that were
+  /// meant for the former one.
+  std::int64_t WorkerGeneration(const std::string& vm) const;
+  /// When the last lease that the VM may hold expires. Precondition: the VM is
+  /// known.
+  Millis LatestLeaseExpiry(const std::string& vm) const {
+    return vms_.at(vm)->LatestLeaseExpiry();
+  }
+  /// Whether the VM's worker rejects calls that were meant for a former one.
+  bool IsFenced(const std::string& vm) const;
   /// True if run ends were processed that are not durable yet, and so must not
   /// be acknowledged. The next batches make them durable.
   bool HasNonDurableEnds(const std::string& vm) const;
@@ -626,6 +637,7 @@
   /// Ended jobs whose runs, if any, have to be stopped.
   std::set<std::string> stopping_jobs_;
   std::map<std::string, std::unique_ptr<Vm>> vms_;
+  std::int64_t worker_generations_ = 0;  ///< Workers seen, of all VMs.
   std::set<std::string> dirty_jobs_;
   bool urgent_changes_ = false;
   std::set<std::string> delegating_jobs_;  ///< Jobs with delegated tasks.
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -39,6 +39,16 @@
   return found == vms_.end() ? KnownWorker() : found->second->Worker();
 }
 
+std::int64_t Scheduler::WorkerGeneration(const std::string& vm) const {
+  const auto found = vms_.find(vm);
+  return found == vms_.end() ? 0 : found->second->worker_generation;
+}
+
+bool Scheduler::IsFenced(const std::string& vm) const {
+  const auto found = vms_.find(vm);
+  return found == vms_.end() || found->second->is_fenced;
+}
+
 bool Scheduler::HasNonDurableEnds(const std::string& vm) const {
   const auto found = vms_.find(vm);
   return found != vms_.end() && LastEndToRecord(vm, found->second->last_end) >
@@ -61,6 +71,10 @@
   if (vm->lease_expired) void_by = RunEventKind::kVoidByLeaseBound;
   const bool is_first = vm->known_since == Millis(0);
   if (is_first) vm->TakeOverLongLease(now);
+  if (!vm->is_fenced && sent >= vm->known_since) {
+    vm->OnFenced(settings_.max_vm_lease);
+    ExpectLongLease(*vm, now);
+  }
   // Run ends from before the lease expired that were not acknowledged are void.
   std::int64_t last_expiry = 0;
   for (const EndedRunReport& row : report.ended) {
--- a/src/libs/jobs/scheduler_workers.cc
+++ b/src/libs/jobs/scheduler_workers.cc
@@ -62,6 +62,7 @@
   LoseRuns(vm, VmLossCause::kRestarted, now, RunsOfNewWorker(vm, report, sent));
   vm.ReplaceWorker(report.worker_start_ms, report.clock_ms,
                    settings_.max_vm_lease, now);
+  vm.worker_generation = ++worker_generations_;
   const std::string& id = vm.listing.id;
   std::erase_if(held_ends_, [&](const HeldEnd& end) { return end.vm == id; });
   dirty_vms_[id] = 0;
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -108,10 +108,16 @@
   static_cast<VmWorker&>(*this) = VmWorker();
   known_since = now;
   clock_ = {/*known=*/true, clock_ms, now, clock_ms + max_lease.count};
+  is_fenced = false;
   tail_predictions.clear();
   SetWorkerStart(start_ms);
 }
 
+void Vm::OnFenced(Millis max_lease) {
+  is_fenced = true;
+  RecordLeaseDeadline(clock_.time_ms + max_lease.count);
+}
+
 Millis Vm::LatestLeaseExpiry() const {
   // Until this owner has set a deadline, that of an earlier owner applies.
   const bool is_inherited = !clock_.known || clock_.max_deadline_ms == 0;
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -138,9 +138,16 @@
                      Millis max_lease, Millis now);
   bool HasDirectoryEntry() const { return has_entry_; }
 
-  /// Whether a successor would know all that it has to know of the VM before
-  /// runs are started there.
-  bool IsRecorded() const { return in_journal && long_lease_batch == 0; }
+  /// Whether no call for a former worker reaches the present one, and a
+  /// successor would know all that it has to know of the VM before runs are
+  /// started there.
+  bool IsRecorded() const {
+    return in_journal && is_fenced && long_lease_batch == 0;
+  }
+  /// The present worker has answered a call with its generation's token. Calls
+  /// that were meant for former ones may have leased it by `max_lease` until
+  /// then, and no longer.
+  void OnFenced(Millis max_lease);
 
   void Add(const RunKey& key, const RunOnVm& run);
   void Remove(const RunKey& key);
@@ -185,6 +192,8 @@
   /// How the present outage began; empty: no call has failed since the last
   /// answer.
   std::optional<VmOutage> outage;
+  /// Rises with each worker of the VM that this owner has seen.
+  std::int64_t worker_generation = 0;
   /// A record that is or may become the newest one states an upper bound for
   /// the expiry of the VM's lease, so the lease must not be extended.
   bool lease_bound_recorded = false;
--- a/src/libs/jobs/vm_worker.h
+++ b/src/libs/jobs/vm_worker.h
@@ -39,6 +39,9 @@
   /// that is longer than the owner's. It has expired by this time; 0: there is
   /// no such lease, or the owner's lasts as long.
   Millis long_lease_until;
+  /// The worker has answered a call with the fencing token of its generation:
+  /// it rejects calls that were meant for a former worker.
+  bool is_fenced = true;
   /// Number of the journal batch that tells successors of such a lease. No run
   /// is started before it is durable; 0: it is.
   std::int64_t long_lease_batch = 0;
--- a/tests/auto/cell/cell_member_fixture.h
+++ b/tests/auto/cell/cell_member_fixture.h
@@ -28,6 +28,9 @@
 
   std::vector<Renewal> renewals;
   std::vector<jobs::RunCommand> commands;
+  /// How commands are answered, and after how long.
+  jobs::RunCommandOutcome command_outcome = jobs::RunCommandOutcome::kDone;
+  Millis command_time;
   std::vector<std::string> disconnected;  ///< Addresses.
   /// The answer of VMs without a report.
   RenewalFailure failure = RenewalFailure::kNoAnswer;
--- a/tests/auto/cell/cell_owner_test.cc
+++ b/tests/auto/cell/cell_owner_test.cc
@@ -69,6 +69,51 @@
   CHECK(fixture.vms.disconnected.size() == 2);
 }
 
+/// The fencing tokens of the renewals since the last call.
+static std::vector<std::int64_t> TakeTokens(CellMemberFixture& fixture) {
+  std::vector<std::int64_t> tokens;
+  for (const Renewal& renewal : fixture.vms.renewals)
+    tokens.push_back(renewal.fencing_token);
+  fixture.vms.renewals.clear();
+  return tokens;
+}
+
+TEST_CASE("a worker that has started again gets a higher fencing token") {
+  // Else it carries out calls that were meant for the former one.
+  CellMemberFixture fixture;
+  fixture.AddVm("vm");
+  fixture.vms.reports["vm"].worker_start_ms = 1;
+  fixture.BecomeOwner();
+  fixture.PumpFor(Millis(20));
+  const std::int64_t former = TakeTokens(fixture).back();
+  fixture.vms.reports["vm"].worker_start_ms = 2;
+  fixture.PumpFor(Millis(20));
+  const std::int64_t present = TakeTokens(fixture).back();
+  CHECK(present > former);
+  // Each later owner has a higher one.
+  ReplaceOwner(fixture);
+  fixture.PumpFor(Millis(20));
+  CHECK(TakeTokens(fixture).back() > present);
+}
+
+TEST_CASE("an owner goes on when a call for a former worker is rejected") {
+  // It has raised the token itself. A later owner's would end the ownership.
+  const bool restarts = GENERATE(true, false);
+  CellMemberFixture fixture;
+  fixture.AddVm("vm");
+  fixture.vms.reports["vm"].worker_start_ms = 1;
+  fixture.AddJournaledJob(kJob, 0, "");
+  fixture.vms.command_time = Millis(100);
+  fixture.vms.command_outcome = jobs::RunCommandOutcome::kStaleToken;
+  fixture.BecomeOwner();
+  for (int i = 0; i < 50 && fixture.vms.commands.empty(); ++i)
+    fixture.PumpFor(Millis(5));
+  REQUIRE(fixture.vms.commands.size() == 1);
+  if (restarts) fixture.vms.reports["vm"].worker_start_ms = 2;
+  fixture.PumpFor(Millis(150));
+  CHECK(fixture.member->Owns() == restarts);
+}
+
 /// Returns the highest number of a run end that the journal holds.
 static std::int64_t NewestJournaledEnd(CellMemberFixture& fixture) {
   std::int64_t newest = 0;
--- a/tests/auto/jobs/scheduler_fixture.cc
+++ b/tests/auto/jobs/scheduler_fixture.cc
@@ -102,6 +102,12 @@
   workers_[vm].clock_zero = now;
 }
 
+void SchedulerFixture::ReportNewWorker(const std::string& vm) {
+  Report(vm, {});
+  Report(vm, {});
+  Flush();
+}
+
 void SchedulerFixture::Report(const std::string& vm,
                               std::vector<RunningRunReport> running,
                               std::vector<EndedRunReport> ended) {
--- a/tests/auto/jobs/scheduler_fixture.h
+++ b/tests/auto/jobs/scheduler_fixture.h
@@ -41,6 +41,9 @@
   /// The VM's worker starts again under the id that it had. Its clock and its
   /// numbers of run ends start anew.
   void RestartWorker(const std::string& vm);
+  /// Processes the first answers of a worker that has started again: the second
+  /// one is to a call that it alone accepts. Makes what they change durable.
+  void ReportNewWorker(const std::string& vm);
   /// Answers a command with this outcome.
   void Answer(const RunCommand& command, RunCommandOutcome outcome);
   /// Returns the scheduler of a new owner, restored from the journal, with the
--- a/tests/auto/jobs/worker_lifetimes_test.cc
+++ b/tests/auto/jobs/worker_lifetimes_test.cc
@@ -50,8 +50,7 @@
   REQUIRE(cell.CountStarts() == 1);
   cell.RestartWorker("vm");
   cell.now = cell.now + Millis(100);
-  cell.Report("vm", {});
-  cell.Flush();
+  cell.ReportNewWorker("vm");
   CHECK(cell.CountStarts() == 0);
   SECTION("of another kind") {
     cell.List("b", kSecondStartMs);
@@ -76,8 +75,7 @@
   cell.List("a", kSecondStartMs);
   CHECK(cell.CountStarts() == 0);
   cell.RestartWorker("vm");
-  cell.Report("vm", {});
-  cell.Flush();
+  cell.ReportNewWorker("vm");
   CHECK(cell.CountStarts() == 1);
 }
 
