A job whose starts are refused counts as pending

Three accepted jobs whose only possible VM refused all starts for 6.5 s were missing from the count of pending jobs, and said to be running.

Cause: StartTask sets Job::started when a start is planned, and nothing takes that back when the VM refuses it. The flag also orders jobs, so it stays.

Change: Job::begun says that a task has begun or may have: the start was confirmed, is in doubt, or a report lists the run. The count of pending jobs and the state that callers see go by it.

Besides, SendCommand is split.

--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -274,6 +274,8 @@
   void LogPreemptions();
   net::asio::awaitable<void> WaitForDurableEnds(std::string id);
   net::asio::awaitable<void> SendCommand(jobs::RunCommand command);
+  /// Whether a start must not be sent any more. Logs why.
+  bool IsWithdrawn(const jobs::RunCommand& command);
   net::asio::awaitable<JobReply> Submit(const JobRequest& request);
   /// Adds the job to this cell or assigns it to another one. Returns the reply
   /// if the request was rejected without any change.
--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -19,28 +19,31 @@
          std::min(scheduler_.WorkerGeneration(vm), kFencingTokensPerOwner - 1);
 }
 
+bool CellOwner::IsWithdrawn(const jobs::RunCommand& command) {
+  if (command.kind != jobs::RunCommandKind::kStart) return false;
+  if (CheckMayStart() && scheduler_.MaySendStart(command.vm)) return false;
+  kLog.Info(
+      "event=start_not_sent reason=\"since the start was planned, the VM "
+      "began to leave or started again, its data center was closed or starts "
+      "were held back; the task waits\" task=" +
+      command.task.ToString() + " run=" + std::to_string(command.run) +
+      " vm=" + command.vm);
+  return true;
+}
+
 net::asio::awaitable<void> CellOwner::SendCommand(jobs::RunCommand command) {
   const auto self = shared_from_this();
   const std::optional<jobs::VmListing> vm = scheduler_.Listing(command.vm);
   // The owner may have been frozen since the command was planned.
   if (!vm || !CheckMayAct()) co_return;
   const Millis sent = Now();
-  const bool is_start = command.kind == jobs::RunCommandKind::kStart;
-  const bool may_start =
-      !is_start || (CheckMayStart() && scheduler_.MaySendStart(command.vm));
-  if (!may_start) {
-    kLog.Info(
-        "event=start_not_sent reason=\"since the start was planned, the VM "
-        "began to leave, its data center was closed or starts were held back; "
-        "the task waits\" task=" +
-        command.task.ToString() + " run=" + std::to_string(command.run) +
-        " vm=" + command.vm);
+  if (IsWithdrawn(command)) {
     scheduler_.OnCommandOutcome(command, jobs::RunCommandOutcome::kNotSent, 0,
                                 sent, sent);
     co_return;
   }
   const std::int64_t deadline = scheduler_.NextDeadline(command.vm, sent);
-  if (is_start && deadline == 0) {
+  if (command.kind == jobs::RunCommandKind::kStart && deadline == 0) {
     // The VM became unreachable after the start was planned.
     scheduler_.OnCommandOutcome(command, jobs::RunCommandOutcome::kRefused, 0,
                                 sent, sent);
--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -270,7 +270,7 @@
     task->hosting = saved.hosting;
     task->delegation = saved.delegation;
     task->unsettled = saved.unsettled;
-    started = true;
+    started = begun = true;
     if (saved.done) {
       ++FindOccurrence(saved.occurrence)->steps[saved.step].done;
     }
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -159,7 +159,9 @@
   OccurrenceSet retired;
   int durably_retired = 0;  ///< Number of those that the journal lists.
   bool accepted = false;    ///< The job is in the journal.
-  bool started = false;     ///< A task of the job has been started.
+  bool started = false;     ///< A start of a task has been planned.
+  /// A task has begun, or may have: its start was not refused.
+  bool begun = false;
   /// Only relief runs of the job have been started; they do not change its
   /// tier.
   bool started_by_relief_only = false;
--- a/src/libs/jobs/scheduler_delegated_results.cc
+++ b/src/libs/jobs/scheduler_delegated_results.cc
@@ -73,7 +73,7 @@
       EndJob(job, JobStatus::kFailed, wall_ms_);
     return;
   }
-  job.started = true;
+  job.started = job.begun = true;
   ++job.FindOccurrence(ref.occurrence)->steps[ref.step].undurable_results;
   undurable_results_.emplace_back(taken_batches_ + 1, ref);
   ApplyDone(job, ref);
--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -183,7 +183,7 @@
     case DelegationState::kRunning:
       task.waiting_at_host_since = Millis(0);
       task.runs_at_host = true;
-      job.started = true;
+      job.started = job.begun = true;
       return;
     case DelegationState::kWaiting:
       task.runs_at_host = false;
@@ -260,7 +260,7 @@
   job->record.ended_wall_ms = 0;
   job->record_dirty = true;
   job->SetAcceptedAt(wall_ms, now);
-  job->started = true;
+  job->started = job->begun = true;
   dirty_jobs_.insert(job->id);
   urgent_changes_ = true;
   return AddJob(std::move(job));
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -160,6 +160,7 @@
     if (is_new) NoteRun(RunEventKind::kOrphaned, vm, key, now);
     return;
   }
+  job->begun = true;
   if (run->phase == RunPhase::kStarting || run->phase == RunPhase::kInDoubt) {
     run->phase = RunPhase::kRunning;
     run->confirmed_at = now;
@@ -217,7 +218,7 @@
   if (!known) NoteRun(RunEventKind::kUnknownEnd, vm, key, now, row.number);
   if (!counts || IsFinal(job->record.status)) return;
   task->last_run = std::max(task->last_run, row.run);
-  job->started = true;
+  job->started = job->begun = true;
   MarkProgressDirty(*job);
   if (void_by || task->done) {
     const RunEventKind ignored = void_by.value_or(RunEventKind::kDoneBefore);
@@ -318,6 +319,10 @@
       charged_run->commanded_pace_percent = -1;
     return;
   }
+  const bool may_have_begun = outcome == RunCommandOutcome::kDone ||
+                              outcome == RunCommandOutcome::kUnknown ||
+                              outcome == RunCommandOutcome::kSuperseded;
+  if (may_have_begun) FindJob(command.task.job)->begun = true;
   switch (outcome) {
     case RunCommandOutcome::kDone:
       if (run->phase == RunPhase::kStopping) return;
--- a/src/libs/jobs/scheduler_status.cc
+++ b/src/libs/jobs/scheduler_status.cc
@@ -34,7 +34,7 @@
     case JobStatus::kActive:
       break;
   }
-  return job.started ? VisibleJobState::kRunning : VisibleJobState::kQueued;
+  return job.begun ? VisibleJobState::kRunning : VisibleJobState::kQueued;
 }
 
 Millis Scheduler::AgeOf(const std::string& id, Millis now) const {
@@ -80,7 +80,7 @@
 int Scheduler::PendingJobs(std::string_view queue) const {
   int pending = 0;
   for (const auto& [key, job] : active_jobs_) {
-    if (!job->started && job->accepted && job->record.queue == queue) ++pending;
+    if (!job->begun && job->accepted && job->record.queue == queue) ++pending;
   }
   return pending;
 }
