--- a/src/libs/cell/vm_client.h
+++ b/src/libs/cell/vm_client.h
@@ -65,8 +65,8 @@
                                                    jobs::RunCommand command,
                                                    CommandContext context) = 0;
 
-  /// No call to the address follows for now: an owner that has stopped, or the
-  /// VM is gone. VMs take a limited number of connections.
+  /// Closes the connections to the address, so that other entries can use the
+  /// limited number that a VM accepts. Later calls open new ones.
   virtual void Disconnect(const std::string& address) = 0;
 };
 
--- a/src/libs/jobs/known_worker.h
+++ b/src/libs/jobs/known_worker.h
@@ -15,8 +15,8 @@
   /// Time that its clock has shown; 0: unknown.
   std::int64_t clock_ms = 0;
 
-  /// Whether a report with this start and clock is of the same lifetime, as far
-  /// as they tell: a clock never goes back.
+  /// Whether a report with this start and clock is of the same lifetime. If a
+  /// start is unknown, a clock that has gone back shows another lifetime.
   bool Matches(std::int64_t report_start_ms,
                std::int64_t report_clock_ms) const {
     if (start_ms > 0 && report_start_ms > 0) return report_start_ms == start_ms;
--- a/src/libs/jobs/scheduler_status.cc
+++ b/src/libs/jobs/scheduler_status.cc
@@ -183,8 +183,8 @@
   const auto found = vms_.find(vm);
   if (found == vms_.end() || !found->second->listed) return false;
   // A worker that has started again since the start was planned.
-  const Vm& vm_state = *found->second;
-  if (!vm_state.is_fenced || vm_state.long_lease_batch > 0) return false;
+  const Vm& known = *found->second;
+  if (!known.is_fenced || known.long_lease_batch > 0) return false;
   const VmListing& listing = found->second->listing;
   return !listing.draining && !closures_.IsClosed(listing.data_center);
 }
--- a/src/libs/jobs/vm_worker.h
+++ b/src/libs/jobs/vm_worker.h
@@ -42,8 +42,8 @@
   /// The worker has answered a call with the fencing token of its generation:
   /// it rejects calls that were meant for a former worker.
   bool is_fenced = true;
-  /// Number of the journal batch that tells successors of such a lease. No run
-  /// is started before it is durable; 0: it is.
+  /// Number of the journal batch that records such a lease for successors. No
+  /// run is started before it is durable; 0: it is, or there is none.
   std::int64_t long_lease_batch = 0;
   std::optional<Reservation> reservation;
   Millis pace_changed_at;    ///< Time of the last pace change of any run.
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -24,7 +24,8 @@
 static constexpr Millis kConnectTimeout(500);
 static constexpr std::size_t kMaxIdlePerPeer = 12;
 static constexpr Millis kSweepInterval(500);
-/// A call that has waited for a connection almost until its time-out.
+/// Least time for the exchange of a call that has waited for a connection until
+/// shortly before its time-out.
 static constexpr Millis kMinExchangeTime(10);
 /// The longest answers are pages of the store, of 1 MB in base64, and VMs'
 /// lists of ends.
--- a/tests/auto/net/http_client_idle_test.cc
+++ b/tests/auto/net/http_client_idle_test.cc
@@ -210,7 +210,7 @@
 }
 
 TEST_CASE("a client opens no more connections to a peer than it may") {
-  // Nine entries that own a cell in turn share the connections of its VMs.
+  // The entries that own a cell in turn share the connections of its VMs.
   net::HttpClientOptions options;
   options.max_connections_per_peer = 2;
   CountedConnections connections(options);
