--- a/review/standins-3/src/deployment.cc
+++ b/review/standins-3/src/deployment.cc
@@ -71,6 +71,9 @@
                      return worker->Handle(std::move(request));
                    });
   }
+  for (auto& worker : workers) {
+    if (options_.name_births) worker->NameBirth();
+  }
   store.Put("keyed.op", "config", R"({"version":1,
     "routes":[
       {"name":"q","host":"jobs.example","path_prefix":"/q/","service":"s",
@@ -115,7 +118,10 @@
 
 net::asio::awaitable<void> Deployment::TickWorkers() {
   for (;;) {
-    for (auto& worker : workers) worker->Advance();
+    for (auto& worker : workers) {
+      worker->Advance();
+      worker->CarryOutLate();
+    }
     co_await net::Sleep(Millis(20));
   }
 }
--- a/review/standins-3/src/deployment.h
+++ b/review/standins-3/src/deployment.h
@@ -30,6 +30,8 @@
   /// The platform kills a process that exceeds `memory_mb`.
   bool kill_over_memory = false;
   std::int64_t hold_max_ms = 10'000;
+  /// Executors say when they were born, and start again under their ids.
+  bool name_births = false;
 };
 
 /// A small deployment on loopback addresses: entries as separate processes,
--- a/review/standins-3/src/main.cc
+++ b/review/standins-3/src/main.cc
@@ -30,6 +30,16 @@
 static constexpr int kLargeJobs = 88;
 static constexpr int kLargeJobGapMs = 90;
 static constexpr int kBurstGapMs = 2'000;
+/// Orders that are carried out late: half of them, for 5.5 s.
+static constexpr int kLatePercent = 50;
+static constexpr int kLateMs = 5'500;
+/// Executors that go down and up by turns: a share of 0.15, each 1.4 s, for
+/// 6.5 s.
+static constexpr int kFlapPercent = 15;
+static constexpr int kTasksOfWideJobs = 16;
+static constexpr int kFlaps = 5;
+static constexpr int kFlapGapMs = 1'400;
+static constexpr int kDownMs = 700;
 
 static Json OneStep(const std::string& spec, int count, int cpu, int mem_mb) {
   return {{"spec", spec},
@@ -43,12 +53,12 @@
 /// Ordinary requesters, who hand in small jobs.
 class Traffic {
  public:
-  Traffic(World& world, Deployment& deployment)
+  Traffic(World& world, Deployment& deployment, int tasks = 2)
       : world_(world), deployment_(deployment), jobs_(kJobs) {
     for (int i = 0; i < kJobs; ++i) {
       jobs_[i].id = MakeId(i);
       jobs_[i].path = i % 2 == 0 ? "/q/" : "/b/";
-      jobs_[i].body = OneStep("300", 2, 1'000, 500);
+      jobs_[i].body = OneStep("300", tasks, 1'000, 500);
     }
   }
   ~Traffic() { Join(); }
@@ -181,10 +191,52 @@
   traffic.CheckDone();
 }
 
+/// Orders get no answer and are carried out late, while executors go down and
+/// start again under their ids.
+static void PlayLateStarts(World& world, bool trouble) {
+  DeploymentOptions options;
+  options.workers = 40;
+  options.name_births = true;
+  options.hold_max_ms = 6'000;
+  Deployment deployment(world, options);
+  deployment.WaitUntilReady();
+  usleep(kSettleMs * 1'000);
+  Traffic traffic(world, deployment, kTasksOfWideJobs);
+  traffic.Start();
+  usleep(kTroubleAfterMs * 1'000);
+  const auto lose_starts = [&](int percent) {
+    deployment.RunOnStandins([&] {
+      for (auto& worker : deployment.workers) worker->LoseStarts(percent);
+    });
+  };
+  if (trouble) lose_starts(kLatePercent);
+  usleep(kLateMs * 1'000);
+  lose_starts(0);
+  const int flapping = options.workers * kFlapPercent / 100;
+  for (int flap = 0; flap < kFlaps && trouble; ++flap) {
+    for (int i = 0; i < flapping; ++i) {
+      Worker& worker = *deployment.workers[i];
+      worker.mode = Worker::Mode::kDown;
+      deployment.RunOnStandins([&] { worker.Crash(worker.Id()); });
+    }
+    usleep(kDownMs * 1'000);
+    for (int i = 0; i < flapping; ++i) {
+      deployment.workers[i]->mode = Worker::Mode::kUp;
+      deployment.RunOnStandins([&] { deployment.Publish(i, "ready"); });
+    }
+    usleep((kFlapGapMs - kDownMs) * 1'000);
+  }
+  traffic.Join();
+  usleep(kFinishMs * 1'000);
+  traffic.CheckDone();
+}
+
 static int Run(const std::string& name, bool trouble,
                const std::string& record) {
   static const std::map<std::string, std::function<void(World&, bool)>> kCases =
-      {{"gang", PlayGang}, {"large-jobs", PlayLargeJobs}};
+      {{"gang", PlayGang},
+       {"large-jobs", PlayLargeJobs},
+       {"late-starts", PlayLateStarts}};
   World world(record);
   const auto found = kCases.find(name);
   if (found == kCases.end()) return 2;
--- a/review/standins-3/src/worker.cc
+++ b/review/standins-3/src/worker.cc
@@ -11,18 +11,26 @@
 static constexpr Millis kPoll(10);
 static constexpr Millis kLost(15'000);
 
+static std::int64_t WallMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 std::string Worker::Entry(const std::string& address,
                           const std::string& state) {
-  const Json entry = {{"service", "s"},
-                      {"address", address},
-                      {"zone", "z1"},
-                      {"version", "1"},
-                      {"slots", 8},
-                      {"state", state},
-                      {"cold_left_ms", 0},
-                      {"seq", ++seq_},
-                      {"room", {{"cpu", kCpu}, {"mem_mb", kMemMb}, {"gpu", 0}}},
-                      {"labels", {"a", rack_}}};
+  Json entry = {{"service", "s"},
+                {"address", address},
+                {"zone", "z1"},
+                {"version", "1"},
+                {"slots", 8},
+                {"state", state},
+                {"cold_left_ms", 0},
+                {"seq", ++seq_},
+                {"room", {{"cpu", kCpu}, {"mem_mb", kMemMb}, {"gpu", 0}}},
+                {"labels", {"a", rack_}}};
+  if (born_wall_ms_ == 0) born_wall_ms_ = WallMs();
+  if (names_birth_) entry["born"] = born_wall_ms_;
   return entry.dump();
 }
 
@@ -34,6 +42,7 @@
   id_ = id;
   ++life_;
   born_ = NowMs();
+  born_wall_ms_ = WallMs();
   fence_ = deadline_ = ends_ = lapsed_at_end_ = 0;
   highest_run_.clear();
   ended_.clear();
@@ -140,6 +149,7 @@
         std::min<std::int64_t>(100 * (Clock() - run.from) / length, 99);
     answer["running"].push_back({task, run.number, "", percent, 1'000});
   }
+  if (names_birth_) answer["born"] = born_wall_ms_;
   for (const End& end : ended_) {
     if (answer["finished"].size() == 500) break;
     answer["finished"].push_back({end.number, end.task, end.run, end.how, ""});
@@ -150,6 +160,23 @@
   co_return response;
 }
 
+void Worker::CarryOutLate() {
+  std::vector<Json> due;
+  std::erase_if(late_, [&](const LateStart& start) {
+    if (NowMs() < start.due) return false;
+    // Without a process nobody takes it.
+    if (mode == Mode::kUp) due.push_back(start.body);
+    return true;
+  });
+  for (const Json& body : due) {
+    Advance();
+    const net::HttpResponse response = Start(body);
+    world_.Note("late start of " + body.at("task").get<std::string>() + "/" +
+                body.at("run").dump() + " at " + id_ + ": " +
+                std::to_string(response.status) + " " + response.body);
+  }
+}
+
 net::asio::awaitable<net::HttpResponse> Worker::Handle(
     net::HttpRequest request) {
   if (mode == Mode::kDown) throw std::runtime_error("no process");
@@ -160,6 +187,16 @@
   Advance();
   if (request.headers["Basilspur-Expect-Instance"] != id_) co_return Reply(421);
   const Json body = Json::parse(request.body);
+  if (request.target == "/-/run-start" && rand() % 100 < late_percent_) {
+    const std::string key =
+        body.at("task").get<std::string>() + "/" + body.at("run").dump();
+    if (delayed_.insert(key).second) {
+      world_.Note("the start of " + key + " gets no answer from " + id_);
+      late_.push_back({NowMs() + 2'000 + rand() % 10'000, body});
+      co_await net::Sleep(kLost);
+      throw std::runtime_error("no answer");
+    }
+  }
   net::HttpResponse response = Reply(200);
   if (request.target == "/-/run-start") response = Start(body);
   if (request.target == "/-/run-stop") response = Stop(body);
--- a/review/standins-3/src/worker.h
+++ b/review/standins-3/src/worker.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,13 @@
   void Advance();
   /// Crashes, and begins a new life under `id`.
   void Crash(const std::string& id);
+  /// From now on a share of the starts, in percent, gets no answer and is
+  /// carried out 2 to 12 s later: the first copy of each. 0: none any more.
+  void LoseStarts(int percent) { late_percent_ = percent; }
+  /// Carries out what is due of that. Call often.
+  void CarryOutLate();
+  /// Says of itself when it was born, and may start again under its id.
+  void NameBirth() { names_birth_ = true; }
 
   const std::string& Id() const { return id_; }
   const std::string& Rack() const { return rack_; }
@@ -48,6 +56,10 @@
     std::int64_t from = 0;
     std::int64_t until = 0;
   };
+  struct LateStart {
+    std::int64_t due = 0;
+    Json body;
+  };
   struct End {
     std::int64_t number = 0;
     std::string task;
@@ -76,6 +88,11 @@
   std::int64_t ends_ = 0;
   std::int64_t lapsed_at_end_ = 0;  ///< Ends up to it came before a lapse.
   std::int64_t seq_ = 0;
+  bool names_birth_ = false;
+  std::int64_t born_wall_ms_ = 0;
+  int late_percent_ = 0;
+  std::set<std::string> delayed_;  ///< "TASK/RUN" whose first copy is late.
+  std::vector<LateStart> late_;
   std::map<std::string, Run> running_;
   std::map<std::string, int> highest_run_;
   std::vector<End> ended_;
