--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -228,6 +228,7 @@
       " late_useful=" + std::to_string(summary.late_useful_jobs) +
       " late_past_use=" + std::to_string(summary.late_past_use_jobs) +
       " oldest_wait_ms=" + std::to_string(summary.oldest_wait.count));
+  kLog.Info("event=owner_turns" + LogFields() + turn_times_.TakeFields());
   LogOldestWaitingTask(/*best_effort=*/true);
   LogOldestWaitingTask(/*best_effort=*/false);
 }
@@ -257,6 +258,16 @@
   return load;
 }
 
+void CellOwner::EndTurn(OwnerTurn turn, Millis began,
+                        const std::string& fields) {
+  const Millis took = Now() - began;
+  turn_times_.Add(turn, took);
+  if (took < TurnTimes::kSlow) return;
+  kLog.Warning("event=slow_turn turn=" + std::string(NameOf(turn)) +
+               LogFields() + " took_ms=" + std::to_string(took.count) + fields +
+               " reason=\"callers, leases and the ownership had to wait\"");
+}
+
 void CellOwner::SchedulePlan() {
   if (!ready_ || plan_scheduled_) return;
   plan_scheduled_ = true;
@@ -301,8 +312,13 @@
   ConfirmOwnership();
   scheduler_.HoldStarts(!CheckMayStart());
   if (!draining_) {
+    const Millis began = Now();
     std::vector<jobs::RunCommand> commands =
-        scheduler_.Plan(clock_.Wall().count, Now());
+        scheduler_.Plan(clock_.Wall().count, began);
+    EndTurn(OwnerTurn::kPlan, began,
+            " jobs=" + std::to_string(scheduler_.ActiveJobs()) +
+                " vms=" + std::to_string(renewing_vms_.size()) +
+                " commands=" + std::to_string(commands.size()));
     for (jobs::RunCommand& command : commands) {
       net::Spawn(context_, SendCommand(command), "run_command",
                  [self = shared_from_this(), command] {
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -19,6 +19,7 @@
 #include "cell/recall_record.h"
 #include "cell/signal.h"
 #include "cell/store.h"
+#include "cell/turn_times.h"
 #include "cell/vm_client.h"
 #include "jobs/admission_policy.h"
 #include "jobs/queue_outlook.h"
@@ -343,6 +344,8 @@
   void ConfirmOwnership();
   /// The cell and the fencing token as log fields, with a leading space.
   std::string LogFields() const;
+  /// Counts a turn that began at `began`, and logs it if it was slow.
+  void EndTurn(OwnerTurn turn, Millis began, const std::string& fields);
   /// Logs what holds the next starts of long-running tasks without a run.
   void LogLongRunningWaits();
   /// Logs why a task of the job that has waited longest has no place.
@@ -374,6 +377,7 @@
   Millis last_run_log_;
   Millis last_wait_log_;
   Millis last_plan_;
+  TurnTimes turn_times_;
   net::Timer plan_timer_;
   Millis last_moved_job_check_;
   Millis last_gang_check_;
--- a/src/libs/cell/cell_owner_journal.cc
+++ b/src/libs/cell/cell_owner_journal.cc
@@ -61,6 +61,7 @@
       co_await net::Sleep(kJournalReadRetryInterval);
       continue;
     }
+    const Millis began = Now();
     std::map<std::string, std::optional<jobs::ProgressRecord>> progress;
     for (const KeyedRecord& record : ValueOf(read).records) {
       if (record.key.starts_with('v')) RestoreVm(record);
@@ -85,6 +86,8 @@
       scheduler_.Restore(id, ValueOf(decoded), progress[id],
                          clock_.Wall().count, Now());
     }
+    EndTurn(OwnerTurn::kRestore, began,
+            " records=" + std::to_string(ValueOf(read).records.size()));
     co_return true;
   }
 }
@@ -129,7 +132,11 @@
       co_await batch_pending_.WaitFor(pause);
       continue;
     }
+    const Millis began = Now();
     jobs::JournalBatch batch = scheduler_.TakeBatch(clock_.Wall().count);
+    EndTurn(OwnerTurn::kBatch, began,
+            " jobs=" + std::to_string(batch.jobs.size()) +
+                " records=" + std::to_string(batch.entries.size()));
     LeaveOutLongRecords(batch);
     if (!co_await WriteBatch(batch)) co_return;
     LogJobEnds(batch);
--- a/src/libs/cell/cell_owner_vms.cc
+++ b/src/libs/cell/cell_owner_vms.cc
@@ -207,7 +207,11 @@
     LogWorkerStart(vm.id, *report);
     LogRunEnds(vm.id, *report);
     const bool was_fenced = scheduler_.IsFenced(vm.id);
-    scheduler_.OnReport(vm.id, *report, sent, Now());
+    const Millis received = Now();
+    scheduler_.OnReport(vm.id, *report, sent, received);
+    EndTurn(OwnerTurn::kReport, received,
+            " vm=" + vm.id + " runs=" + std::to_string(report->running.size()) +
+                " ends=" + std::to_string(report->ended.size()));
     if (!was_fenced && scheduler_.IsFenced(vm.id)) LogFencedWorker(vm.id);
     SchedulePlan();
     co_return true;
--- a/src/tools/basilspur_plan_bench/main.cc
+++ b/src/tools/basilspur_plan_bench/main.cc
@@ -1,12 +1,15 @@
-// Measures a plan of a scheduler with 100 VMs that are full and 1,000 tasks
-// that wait, with and without starts planned for large tasks.
+// Measures plans of a scheduler: with 100 VMs that are full and 1,000 tasks
+// that wait, with and without starts planned for large tasks; and with a job of
+// many tasks. Sizes: basilspur_plan_bench [MOST-TASKS [MOST-VMS]].
 
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <cstdlib>
 #include <string>
 #include <vector>
 
+#include "basilspur_plan_bench/step_bench.h"
 #include "jobs/scheduler.h"
 
 using namespace basilspur;        // NOLINT(google-build-using-namespace)
@@ -146,7 +149,9 @@
 
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+  const int most_tasks = argc > 1 ? std::atoi(argv[1]) : 10'000;
+  const int most_vms = argc > 2 ? std::atoi(argv[2]) : 1'000;
   for (const int max_planned_starts : {0, 4, 0, 4}) {
     const std::vector<double> times = PlanBench(max_planned_starts).Measure();
     std::printf(
@@ -155,5 +160,6 @@
         max_planned_starts, times[times.size() / 2],
         times[times.size() * 99 / 100], times.back());
   }
+  plan_bench::MeasureLargeSteps(most_tasks, most_vms);
   return 0;
 }
