--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -1,6 +1,7 @@
 #include "cell/cell_owner.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <string_view>
 #include <utility>
@@ -273,7 +274,10 @@
   plan_scheduled_ = true;
   // A scheduling pass covers all waiting tasks, so events that arrive before it
   // share one pass.
-  const Millis due = last_plan_ + settings_.min_plan_interval - Now();
+  const Millis interval =
+      std::max(settings_.min_plan_interval,
+               last_plan_took_ * 100 / settings_.max_plan_time_percent);
+  const Millis due = last_plan_ + interval - Now();
   plan_timer_.ExpireAfter(std::max(due, Millis(0)));
   plan_timer_.AsyncWait([self = shared_from_this()](const net::error_code&) {
     self->plan_scheduled_ = false;
@@ -319,15 +323,11 @@
             " jobs=" + std::to_string(scheduler_.ActiveJobs()) +
                 " vms=" + std::to_string(renewing_vms_.size()) +
                 " commands=" + std::to_string(commands.size()));
-    for (jobs::RunCommand& command : commands) {
-      net::Spawn(context_, SendCommand(command), "run_command",
-                 [self = shared_from_this(), command] {
-                   // It may have been carried out.
-                   self->scheduler_.OnCommandOutcome(
-                       command, jobs::RunCommandOutcome::kUnknown, 0,
-                       self->Now(), self->Now());
-                 });
-    }
+    last_plan_took_ = Now() - began;
+    outgoing_.insert(outgoing_.end(), std::make_move_iterator(commands.begin()),
+                     std::make_move_iterator(commands.end()));
+    if (!sending_outgoing_) SendOutgoing();
+    if (scheduler_.HasMoreToPlan()) SchedulePlan();
   }
   LogVmLosses();
   LogCopies();
@@ -335,6 +335,27 @@
   NotifyJournalWriter();
 }
 
+void CellOwner::SendOutgoing() {
+  sending_outgoing_ = false;
+  if (stopped_) return;
+  for (std::size_t sent = 0;
+       sent < settings_.max_commands_per_turn && !outgoing_.empty(); ++sent) {
+    const jobs::RunCommand command = std::move(outgoing_.front());
+    outgoing_.pop_front();
+    net::Spawn(context_, SendCommand(command), "run_command",
+               [self = shared_from_this(), command] {
+                 // It may have been carried out.
+                 self->scheduler_.OnCommandOutcome(
+                     command, jobs::RunCommandOutcome::kUnknown, 0, self->Now(),
+                     self->Now());
+               });
+  }
+  if (outgoing_.empty()) return;
+  sending_outgoing_ = true;
+  net::asio::post(context_,
+                  [self = shared_from_this()] { self->SendOutgoing(); });
+}
+
 void CellOwner::NotifyJournalWriter() {
   const bool wanted =
       scheduler_.HasUrgentChanges() || (writer_idle_ && scheduler_.HasBatch());
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -2,6 +2,7 @@
 #define BASILSPUR_CELL_CELL_OWNER_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -34,8 +35,13 @@
   Millis journal_flush_interval{15};
   /// The same while nobody waits for the changes to become durable.
   Millis lazy_flush_interval{60};
-  /// Shortest time between two scheduling passes.
+  /// Shortest time between the beginnings of two scheduling passes, and the
+  /// share of the time that they may take. Answers and renewals come between
+  /// them.
   Millis min_plan_interval{8};
+  int max_plan_time_percent = 20;
+  /// Number of commands that are sent before other work has its turn.
+  std::size_t max_commands_per_turn = 100;
   /// An append that stays pending for longer makes the owner refuse new jobs.
   Millis store_stall_timeout{400};
   /// How long a VM without runs may hold a renewal open before it answers. A VM
@@ -330,6 +336,9 @@
   void SchedulePlan();
   void NotifyJournalWriter();
   void RunPlan();
+  /// Sends commands that wait in `outgoing_`, and goes on with the others after
+  /// other work that is due.
+  void SendOutgoing();
   /// Whether what this entry knows of the VMs and of the operators' orders is
   /// new enough for starts. Logs a change.
   bool CheckMayStart();
@@ -377,6 +386,10 @@
   Millis last_run_log_;
   Millis last_wait_log_;
   Millis last_plan_;
+  Millis last_plan_took_;
+  /// Commands of the last plans that have not been sent yet.
+  std::deque<jobs::RunCommand> outgoing_;
+  bool sending_outgoing_ = false;
   TurnTimes turn_times_;
   net::Timer plan_timer_;
   Millis last_moved_job_check_;
--- a/src/libs/jobs/job.cc
+++ b/src/libs/jobs/job.cc
@@ -230,7 +230,12 @@
   });
 }
 
-ProgressRecord Job::MakeProgress() const {
+void Job::NoteChange(const TaskRef& task) {
+  if (!all_parts_changed)
+    changed_parts.insert(ProgressPartOf(record.spec, task));
+}
+
+ProgressRecord Job::MakeChangedProgress() const {
   ProgressRecord progress;
   progress.finished_occurrences = finished_occurrences;
   progress.retired = retired.Ranges();
@@ -241,6 +246,9 @@
         if (IsUntouched(tasks[index])) continue;
         const TaskRef ref{id, occurrence.number, static_cast<int>(step),
                           static_cast<int>(index)};
+        if (!all_parts_changed &&
+            !changed_parts.contains(ProgressPartOf(record.spec, ref)))
+          continue;
         progress.tasks.push_back(MakeTaskRecord(ref, tasks[index]));
       }
     }
@@ -252,6 +260,8 @@
   retired = OccurrenceSet(progress.retired);
   durably_retired = retired.Count();
   progress_parts = {0};
+  // An earlier version may have written all tasks to one part.
+  all_parts_changed = true;
   for (const TaskRecord& saved : progress.tasks) {
     progress_parts.insert(ProgressPartOf(record.spec, saved));
     // An earlier version may have had more occurrences at a time.
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -172,6 +172,10 @@
   bool record_dirty = false;
   bool progress_dirty = false;
   std::set<int> progress_parts;  ///< Of its progress in the journal.
+  /// Parts of the progress that have changed since they were last written. A
+  /// job may have thousands of tasks, most of which don't change.
+  std::set<int> changed_parts;
+  bool all_parts_changed = false;
   Millis accepted_at;
   JobTier tier = JobTier::kOnTime;
   /// Position among the late jobs, from 1; 0: see LateJobOrder.
@@ -226,7 +230,10 @@
   /// Calls `visit(ref, task)` for each task.
   template <class Visit>
   void ForEachTask(Visit visit);
-  ProgressRecord MakeProgress() const;
+  /// The part of the progress that holds the task has changed.
+  void NoteChange(const TaskRef& task);
+  /// Returns the progress of the tasks in changed parts.
+  ProgressRecord MakeChangedProgress() const;
   void ApplyProgress(const ProgressRecord& progress);
 
  private:
--- a/src/libs/jobs/placer.cc
+++ b/src/libs/jobs/placer.cc
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <utility>
 
+#include "jobs/step_places.h"
+
 namespace basilspur::jobs {
 
 // Costs of a placement, in thousandths of a core. The VM with the lowest sum of
@@ -102,16 +104,19 @@
          kRunBesideSuspectCost * static_cast<double>(vm.Runs().size());
 }
 
+double Placer::FailureCost(const Vm& vm, const Task& task) {
+  const bool failed = std::find(task.failed_on.begin(), task.failed_on.end(),
+                                vm.listing.id) != task.failed_on.end();
+  return failed ? kFailedOnVmCost : 0;
+}
+
 double Placer::Cost(const Vm& vm, const StepSpec& spec, const Task& task,
                     Millis now) const {
   double cost = 0;
   if (!spec.data_rack.empty() && vm.listing.rack != spec.data_rack) {
     cost += kOtherRackCost;
   }
-  if (std::find(task.failed_on.begin(), task.failed_on.end(), vm.listing.id) !=
-      task.failed_on.end()) {
-    cost += kFailedOnVmCost;
-  }
+  cost += FailureCost(vm, task);
   if (task.IsSuspect()) cost += CostForSuspect(vm, now);
   if (closures_.IsReopening(vm.listing.data_center, now))
     cost += kReopeningDataCenterCost;
@@ -148,34 +153,22 @@
   return !took || now + *took > start->at;
 }
 
-static int CountOn(const std::string& vm, const std::vector<Task>& tasks) {
-  int count = 0;
-  for (const Task& task : tasks) {
-    for (const Run& run : task.runs) {
-      if (run.vm == vm) ++count;
-    }
-  }
-  return count;
-}
-
 bool Placer::MayHostLater(const Vm& vm, const StepSpec& spec,
-                          const std::string& service,
-                          const std::vector<Task>& siblings, Millis now) const {
+                          const std::string& service, const TaskRef& ref,
+                          Millis now) const {
   if (GeneralRefusal(vm, spec, service, now)) return false;
   if (!spec.Charge().FitsIn(vm.CapacityBesideLongRunning())) return false;
-  return spec.max_per_vm == 0 ||
-         CountOn(vm.listing.id, siblings) < spec.max_per_vm;
+  return !IsAtLimit(vm, spec, ref);
 }
 
 Vm* Placer::SelectVmToReserve(const std::vector<Vm*>& vms, const StepSpec& spec,
-                              const std::string& service,
-                              const std::vector<Task>& siblings,
+                              const std::string& service, const TaskRef& ref,
                               Millis now) const {
   Vm* best = nullptr;
   for (Vm* vm : vms) {
     if (vm->reservation && now < vm->reservation->until) continue;
     if (best && vm->Free().cpu_millis <= best->Free().cpu_millis) continue;
-    if (MayHostLater(*vm, spec, service, siblings, now)) best = vm;
+    if (MayHostLater(*vm, spec, service, ref, now)) best = vm;
   }
   return best;
 }
@@ -188,9 +181,11 @@
   return 100 * used <= percent * vm.listing.capacity.cpu_millis;
 }
 
-std::optional<PlacementRefusal> Placer::RefusalOf(
-    const Vm& vm, const StepSpec& spec, const std::string& service,
-    const TaskRef& ref, const std::vector<Task>& siblings, Millis now) const {
+std::optional<PlacementRefusal> Placer::RefusalOf(const Vm& vm,
+                                                  const StepSpec& spec,
+                                                  const std::string& service,
+                                                  const TaskRef& ref,
+                                                  Millis now) const {
   const auto general = GeneralRefusal(vm, spec, service, now);
   if (general) return general;
   const records::Resources charge = spec.Charge();
@@ -204,10 +199,7 @@
   }
   if (DelaysPlannedStart(vm, spec, ref, now))
     return PlacementRefusal::kReserved;
-  if (spec.max_per_vm > 0 &&
-      CountOn(vm.listing.id, siblings) >= spec.max_per_vm) {
-    return PlacementRefusal::kMaxPerVm;
-  }
+  if (IsAtLimit(vm, spec, ref)) return PlacementRefusal::kMaxPerVm;
   if (spec.best_effort && !IsOpenEnoughFor(vm, spec, now)) {
     return PlacementRefusal::kReopening;
   }
@@ -219,13 +211,11 @@
 
 bool Placer::LacksOnlyCapacity(const Vm& vm, const StepSpec& spec,
                                const std::string& service, const TaskRef& ref,
-                               const std::vector<Task>& siblings,
                                Millis now) const {
   if (GeneralRefusal(vm, spec, service, now)) return false;
   if (spec.Charge().FitsIn(vm.Free())) return false;
   if (vm.ReservationOfOther(ref, now)) return false;
-  return spec.max_per_vm == 0 ||
-         CountOn(vm.listing.id, siblings) < spec.max_per_vm;
+  return !IsAtLimit(vm, spec, ref);
 }
 
 /// Whether a refusal, if any, also excludes relief runs.
@@ -236,17 +226,14 @@
 Placement Placer::SelectReliefPlacement(const std::vector<Vm*>& vms,
                                         const StepSpec& spec,
                                         const std::string& service,
-                                        const TaskRef& ref,
-                                        const std::vector<Task>& siblings,
-                                        Millis now) const {
+                                        const TaskRef& ref, Millis now) const {
   const std::int64_t min_cpu_millis =
       spec.need.cpu_millis * kMinReliefPacePercent / 100;
   Placement best;
   // The highest predicted tail latency, then the missing processor time.
   std::pair<double, std::int64_t> best_cost;
   for (Vm* vm : vms) {
-    if (ExcludesRelief(RefusalOf(*vm, spec, service, ref, siblings, now)))
-      continue;
+    if (ExcludesRelief(RefusalOf(*vm, spec, service, ref, now))) continue;
     if (CpuMillisForBestEffort(*vm) < min_cpu_millis) continue;
     if (vm->HasReliefRun()) continue;
     const std::optional<double> share =
@@ -268,13 +255,11 @@
 PlacementOptions Placer::CountOptions(const std::vector<const Vm*>& vms,
                                       const StepSpec& spec,
                                       const std::string& service,
-                                      const TaskRef& ref,
-                                      const std::vector<Task>& siblings,
-                                      Millis now) const {
+                                      const TaskRef& ref, Millis now) const {
   PlacementOptions options;
   options.vms = static_cast<int>(vms.size());
   for (const Vm* vm : vms) {
-    auto refusal = RefusalOf(*vm, spec, service, ref, siblings, now);
+    auto refusal = RefusalOf(*vm, spec, service, ref, now);
     if (!refusal) {
       const int pace_percent =
           spec.best_effort
@@ -294,30 +279,49 @@
   return options;
 }
 
+std::optional<double> Placer::CostOn(const Vm& vm, const StepSpec& spec,
+                                     const std::string& service,
+                                     const TaskRef& ref, const Task& task,
+                                     Millis now) const {
+  if (RefusalOf(vm, spec, service, ref, now)) return std::nullopt;
+  return Cost(vm, spec, task, now);
+}
+
+std::optional<int> Placer::PaceOn(const Vm& vm, const StepSpec& spec,
+                                  double& cost) const {
+  if (!spec.best_effort) return 100;
+  const int percent =
+      tails_.MaxPacePercent(vm, spec.image, spec.need.cpu_millis);
+  if (percent < kMinStartPacePercent) return std::nullopt;
+  cost += kSlowdownCostPerPercent * (100 - percent);
+  return percent;
+}
+
 Placement Placer::SelectPlacement(const std::vector<Vm*>& vms,
                                   const StepSpec& spec,
                                   const std::string& service,
                                   const TaskRef& ref, const Task& task,
-                                  const std::vector<Task>& siblings,
                                   Millis now) const {
   Placement best;
   double best_cost = 0;
   for (Vm* vm : vms) {
-    if (RefusalOf(*vm, spec, service, ref, siblings, now)) continue;
-    double cost = Cost(*vm, spec, task, now);
-    if (best.vm && cost >= best_cost) continue;
-    int pace_percent = 100;
-    if (spec.best_effort) {
-      pace_percent =
-          tails_.MaxPacePercent(*vm, spec.image, spec.need.cpu_millis);
-      if (pace_percent < kMinStartPacePercent) continue;
-      cost += kSlowdownCostPerPercent * (100 - pace_percent);
-      if (best.vm && cost >= best_cost) continue;
-    }
-    best = {vm, pace_percent, /*relief=*/false};
-    best_cost = cost;
+    std::optional<double> cost = CostOn(*vm, spec, service, ref, task, now);
+    if (!cost || (best.vm && *cost >= best_cost)) continue;
+    const std::optional<int> pace_percent = PaceOn(*vm, spec, *cost);
+    if (!pace_percent || (best.vm && *cost >= best_cost)) continue;
+    best = {vm, *pace_percent, /*relief=*/false};
+    best_cost = *cost;
   }
   return best;
 }
 
+int Placer::CountFreePlaces(const Vm& vm, const StepSpec& spec,
+                            const std::string& service, const TaskRef& ref,
+                            int max, Millis now) const {
+  if (RefusalOf(vm, spec, service, ref, now)) return 0;
+  if (spec.max_per_vm > 0)
+    max = std::min(max, spec.max_per_vm - vm.CountRunsOfStep(ref));
+  return CountFits(spec.Charge(), vm.Free(), max);
+}
+
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/placer.h
+++ b/src/libs/jobs/placer.h
@@ -37,12 +37,31 @@
       : tails_(tails), closures_(closures), run_times_(run_times) {}
 
   /// Returns the VM of `vms` with the lowest cost for a run of `task`, which is
-  /// identified by `ref`. `siblings` are the tasks of the same step and
-  /// occurrence; they count towards the step's limit of tasks per VM.
+  /// identified by `ref`. Of VMs with the same cost it returns the first one.
+  /// Compares all VMs; see PlacementQueue for many tasks of a step.
   Placement SelectPlacement(const std::vector<Vm*>& vms, const StepSpec& spec,
                             const std::string& service, const TaskRef& ref,
-                            const Task& task, const std::vector<Task>& siblings,
-                            Millis now) const;
+                            const Task& task, Millis now) const;
+
+  /// Returns the cost of a run on the VM, in thousandths of a core; empty: the
+  /// VM can't host it. For a best-effort run it is a lower bound, to be
+  /// completed by PaceOn.
+  std::optional<double> CostOn(const Vm& vm, const StepSpec& spec,
+                               const std::string& service, const TaskRef& ref,
+                               const Task& task, Millis now) const;
+  /// Returns the pace at which a run would start on a VM for which CostOn
+  /// returned a cost, and adds the cost of that pace. Empty: the run would have
+  /// to be too slow.
+  std::optional<int> PaceOn(const Vm& vm, const StepSpec& spec,
+                            double& cost) const;
+  /// The part of the cost that is due to a failure of the task on the VM.
+  static double FailureCost(const Vm& vm, const Task& task);
+
+  /// Returns an upper bound for how many more runs of the task's step the VM
+  /// can host now, at most `max`.
+  int CountFreePlaces(const Vm& vm, const StepSpec& spec,
+                      const std::string& service, const TaskRef& ref, int max,
+                      Millis now) const;
 
   /// Returns a VM for a best-effort task of a job of which nothing has run for
   /// long. The task may use processors that other best-effort runs use, and may
@@ -53,9 +72,7 @@
   Placement SelectReliefPlacement(const std::vector<Vm*>& vms,
                                   const StepSpec& spec,
                                   const std::string& service,
-                                  const TaskRef& ref,
-                                  const std::vector<Task>& siblings,
-                                  Millis now) const;
+                                  const TaskRef& ref, Millis now) const;
 
   /// Whether the VM accepts runs of the step at all, whatever runs there now.
   bool IsOpenTo(const Vm& vm, const StepSpec& spec, const std::string& service,
@@ -68,26 +85,25 @@
   PlacementOptions CountOptions(const std::vector<const Vm*>& vms,
                                 const StepSpec& spec,
                                 const std::string& service, const TaskRef& ref,
-                                const std::vector<Task>& siblings,
                                 Millis now) const;
 
   /// Whether the VM could host a run of the task if enough of its runs ended.
   bool LacksOnlyCapacity(const Vm& vm, const StepSpec& spec,
                          const std::string& service, const TaskRef& ref,
-                         const std::vector<Task>& siblings, Millis now) const;
+                         Millis now) const;
 
   /// Whether the VM will have room for a run of the task once only long-running
-  /// tasks are left there. `siblings` as in SelectPlacement.
+  /// tasks are left there.
   bool MayHostLater(const Vm& vm, const StepSpec& spec,
-                    const std::string& service,
-                    const std::vector<Task>& siblings, Millis now) const;
+                    const std::string& service, const TaskRef& ref,
+                    Millis now) const;
 
   /// Returns the VM that is expected to have capacity for a long-running task
   /// first, once the shorter tasks on it have ended. Null if no VM qualifies or
-  /// all that do are reserved. `siblings` as in SelectPlacement.
+  /// all that do are reserved.
   Vm* SelectVmToReserve(const std::vector<Vm*>& vms, const StepSpec& spec,
-                        const std::string& service,
-                        const std::vector<Task>& siblings, Millis now) const;
+                        const std::string& service, const TaskRef& ref,
+                        Millis now) const;
 
  private:
   /// Returns the rule, if any, by which the VM accepts no runs of the step,
@@ -101,8 +117,12 @@
   std::optional<PlacementRefusal> RefusalOf(const Vm& vm, const StepSpec& spec,
                                             const std::string& service,
                                             const TaskRef& ref,
-                                            const std::vector<Task>& siblings,
                                             Millis now) const;
+  /// Whether the VM has as many runs of the task's step as that allows.
+  static bool IsAtLimit(const Vm& vm, const StepSpec& spec,
+                        const TaskRef& ref) {
+    return spec.max_per_vm > 0 && vm.CountRunsOfStep(ref) >= spec.max_per_vm;
+  }
   /// Whether a VM whose data center may have been opened again a short while
   /// ago already gets this best-effort run.
   bool IsOpenEnoughFor(const Vm& vm, const StepSpec& spec, Millis now) const;
--- a/src/libs/jobs/progress_parts.cc
+++ b/src/libs/jobs/progress_parts.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "jobs/task_ref.h"
+
 namespace basilspur::jobs {
 
 /// Leaves each task 1 kB in a record of 256 kB; most take less than 100 bytes.
@@ -19,6 +21,11 @@
 }
 
 int ProgressPartOf(const JobSpec& spec, const TaskRecord& task) {
+  return ProgressPartOf(spec,
+                        TaskRef{"", task.occurrence, task.step, task.index});
+}
+
+int ProgressPartOf(const JobSpec& spec, const TaskRef& task) {
   std::int64_t number = task.index;
   for (std::size_t step = 0; step < spec.steps.size(); ++step) {
     const std::int64_t count = spec.steps[step].count;
--- a/src/libs/jobs/progress_parts.h
+++ b/src/libs/jobs/progress_parts.h
@@ -10,6 +10,8 @@
 
 namespace basilspur::jobs {
 
+struct TaskRef;
+
 // The progress of a job is stored in several records, since one that lists all
 // of its tasks may be longer than the store takes. Each task belongs to one
 // part for good; part 0 also holds what concerns the whole job, and is the only
@@ -23,6 +25,7 @@
 
 /// Returns the part that holds the task's record.
 int ProgressPartOf(const JobSpec& spec, const TaskRecord& task);
+int ProgressPartOf(const JobSpec& spec, const TaskRef& task);
 
 /// Returns part 0, and the others that have tasks.
 std::map<int, ProgressRecord> SplitProgress(const JobSpec& spec,
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -240,6 +240,16 @@
 }
 
 void Scheduler::MarkProgressDirty(Job& job) {
+  job.all_parts_changed = true;
+  ScheduleProgress(job);
+}
+
+void Scheduler::MarkTaskDirty(Job& job, const TaskRef& task) {
+  job.NoteChange(task);
+  ScheduleProgress(job);
+}
+
+void Scheduler::ScheduleProgress(Job& job) {
   if (IsFinal(job.record.status) && !stopping_jobs_.contains(job.id)) return;
   job.progress_dirty = true;
   dirty_jobs_.insert(job.id);
@@ -268,17 +278,26 @@
   job.progress_parts.clear();
 }
 
-/// Appends the entries for the job's present progress.
+/// Appends the entries for what has changed of the job's progress.
 static void AddProgress(Job& job, std::vector<JournalEntry>& entries) {
-  std::set<int> parts;
+  // It also holds what concerns the whole job.
+  job.changed_parts.insert(0);
+  std::set<int> written;
   for (const auto& [part, progress] :
-       SplitProgress(job.record.spec, job.MakeProgress())) {
+       SplitProgress(job.record.spec, job.MakeChangedProgress())) {
     entries.push_back({ProgressKey(job.id, part), records::Encode(progress)});
-    parts.insert(part);
-    job.progress_parts.erase(part);
+    written.insert(part);
   }
-  RemoveProgress(job, entries);
-  job.progress_parts = std::move(parts);
+  std::erase_if(job.progress_parts, [&](int part) {
+    const bool changed =
+        job.all_parts_changed || job.changed_parts.contains(part);
+    if (!changed || written.contains(part)) return false;
+    entries.push_back({ProgressKey(job.id, part), {}});
+    return true;
+  });
+  job.progress_parts.merge(written);
+  job.changed_parts.clear();
+  job.all_parts_changed = false;
 }
 
 JournalBatch Scheduler::TakeBatch(std::int64_t wall_ms) {
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -52,6 +52,7 @@
 
 namespace basilspur::jobs {
 
+class PlacementQueue;
 enum class VmWait;
 struct AwaitedVm;
 struct UnreportedRun;
@@ -284,6 +285,9 @@
   /// Returns the commands to send now. Call after events and about every 100
   /// ms.
   std::vector<RunCommand> Plan(std::int64_t wall_ms, Millis now);
+  /// Whether the last plan has started as many tasks as one may, so that others
+  /// may have places.
+  bool HasMoreToPlan() const { return has_more_to_plan_; }
 
   /// Listing of the VM. Empty if no address of it is known, or once it was
   /// removed: it is not listed, has no runs, and its lease has expired.
@@ -341,7 +345,12 @@
   void EndJob(Job& job, JobStatus status, std::int64_t wall_ms);
   bool CanPurge(const Job& job, std::int64_t wall_ms) const;
   void PurgeEndedJobs(std::int64_t wall_ms);
+  /// The progress of any of the job's tasks, or of the whole job, has changed
+  /// and is to be written.
   void MarkProgressDirty(Job& job);
+  /// The progress of this task has changed and is to be written.
+  void MarkTaskDirty(Job& job, const TaskRef& task);
+  void ScheduleProgress(Job& job);
 
   bool IsUnjournaledRun(const Vm& vm, const Job* job, const Task* task,
                         int run) const;
@@ -425,9 +434,9 @@
   /// The job's delegations that are in the journal, by host cell, without its
   /// record.
   std::map<int, Delegation> DelegationsOf(Job& job) const;
-  /// How long a long-running task waits here before it is delegated.
-  Millis DelegationDelayOf(const TaskRef& ref, const Task& task,
-                           Millis now) const;
+  /// How long a long-running task for which no VM is reserved waits here before
+  /// it is delegated.
+  Millis DelegationDelayOf(const Task& task, Millis now) const;
   void OnDelegatedTaskReport(Job& job, const TaskRef& ref,
                              const DelegatedTaskReport& report, Millis now);
   /// Takes over how many VMs the host's runs of the task may have crashed.
@@ -478,20 +487,35 @@
                                 const std::vector<OccurrenceRange>& retired);
   void PlanJob(Job& job, const std::vector<Vm*>& vms, Millis now,
                std::vector<RunCommand>& commands);
-  void PlanStep(Job& job, Occurrence& occurrence, int step,
+  /// Starts tasks of the step. Of a long-running one either those that come
+  /// before all tasks that end (`urgent`), or the others.
+  void PlanStep(Job& job, Occurrence& occurrence, int step, bool urgent,
                 const std::vector<Vm*>& vms, Millis now,
                 std::vector<RunCommand>& commands);
+  /// Whether the plan has as many starts as one may have.
+  bool IsPlanFull();
   void PlanFirstTask(Job& job, const std::vector<Vm*>& vms, Millis now,
                      std::vector<RunCommand>& commands);
   /// Returns false if no VM can host the task and none is reserved for it by a
-  /// preemption.
+  /// preemption. `queue` is of the task's step and `vms`; null: all VMs are
+  /// compared.
   bool PlanTask(Job& job, const TaskRef& ref, const std::vector<Vm*>& vms,
-                Millis now, std::vector<RunCommand>& commands);
+                PlacementQueue* queue, Millis now,
+                std::vector<RunCommand>& commands);
   /// No VM has room for the task, or the gang that it begins.
   void PlanLaterStart(const Job& job, const TaskRef& ref,
                       const std::vector<Vm*>& vms, Millis now);
   void PlanGang(Job& job, Occurrence& occurrence, int step, Millis now,
                 std::vector<RunCommand>& commands);
+  /// Whether the VMs have as many free places as the gang has tasks. They may
+  /// still be too slow for best-effort tasks.
+  bool HasPlacesForGang(const Job& job, const TaskRef& first,
+                        const std::vector<Vm*>& vms, Millis now) const;
+  /// Starts all tasks of the gang. Returns false, and starts none, if the VMs
+  /// can't host all of them.
+  bool PlaceGang(Job& job, Occurrence& occurrence, int step,
+                 const std::vector<Vm*>& vms, Millis now,
+                 std::vector<RunCommand>& commands);
   /// Starts one best-effort task of each job of which nothing has run for
   /// the relief delay, the longest idle first. Neither the order of service nor
   /// the limit of predicted tail latencies can thus make a job wait without
@@ -602,8 +626,7 @@
                             std::vector<RunCommand>& commands);
   /// Whether a VM that is not reserved for another task will have room for the
   /// task once only long-running tasks are left there.
-  bool HasVmForLater(const Job& job, const TaskRef& ref,
-                     const std::vector<Task>& siblings, Millis now) const;
+  bool HasVmForLater(const Job& job, const TaskRef& ref, Millis now) const;
   /// Updates since when the job's long-running tasks have no confirmed run.
   static void UpdateLongRunningWaits(Job& job, Millis now);
   /// Precondition: the task has no confirmed run.
@@ -665,6 +688,8 @@
   bool journal_complete_ = false;
   bool starts_held_ = false;
   LeaseAuthority lease_authority_;
+  int plan_starts_ = 0;  ///< Of the present plan.
+  bool has_more_to_plan_ = false;
   Millis last_check_at_;  ///< Of retries, stalled runs and paces.
   int first_run_number_ = 1;
   std::int64_t wall_ms_ = 0;
--- a/src/libs/jobs/scheduler_copies.cc
+++ b/src/libs/jobs/scheduler_copies.cc
@@ -164,8 +164,6 @@
                           Millis now) {
   Job& job = *slow.job;
   Task& task = job.At(slow.ref);
-  const std::vector<Task>& tasks =
-      job.FindOccurrence(slow.ref.occurrence)->steps[slow.ref.step].tasks;
   const StepSpec& spec = job.record.spec.steps[slow.ref.step];
   TaskCopy copy;
   copy.first_run = task.runs.front().number;
@@ -177,7 +175,7 @@
     if (place.vm) break;
     place = placer_.SelectPlacement(
         CopyPolicy::VmsForCopy(vms, *first_vm, any_rack), spec,
-        job.record.service, slow.ref, task, tasks, now);
+        job.record.service, slow.ref, task, now);
   }
   if (!place.vm) return;
   // A successor has to know of the copy by the journal, so SendCopy sends the
--- a/src/libs/jobs/scheduler_delegated_results.cc
+++ b/src/libs/jobs/scheduler_delegated_results.cc
@@ -131,10 +131,8 @@
       if (task.waiting_since == Millis(0)) task.waiting_since = now;
       if (now - task.waiting_since < delegation_policy_.MaxWaitAtHost(spec))
         return;
-      const std::vector<Task>& siblings =
-          job->FindOccurrence(ref.occurrence)->steps[ref.step].tasks;
       const bool will_start =
-          spec.long_running && HasVmForLater(*job, ref, siblings, now);
+          spec.long_running && HasVmForLater(*job, ref, now);
       if (!will_start) ReturnTask(*job, task);
     });
   }
--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 
 #include "jobs/scheduler.h"
 
@@ -6,6 +7,11 @@
 
 std::vector<TaskRef> Scheduler::TasksToDelegate(Millis now) {
   std::vector<TaskRef> tasks;
+  std::set<TaskRef> reserved;
+  for (const auto& [id, vm] : vms_) {
+    if (vm->reservation && now < vm->reservation->until)
+      reserved.insert(vm->reservation->task);
+  }
   for (const auto& entry : active_jobs_) {
     Job& job = *entry.second;
     if (job.IsGuest() || !job.record.spec.IsLongRunning()) continue;
@@ -21,16 +27,16 @@
         return;
       }
       if (task.waiting_since == Millis(0)) task.waiting_since = now;
-      if (now - task.waiting_since >= DelegationDelayOf(ref, task, now))
-        tasks.push_back(ref);
+      const Millis delay = reserved.contains(ref)
+                               ? settings_.reserved_delegation_delay
+                               : DelegationDelayOf(task, now);
+      if (now - task.waiting_since >= delay) tasks.push_back(ref);
     });
   }
   return tasks;
 }
 
-Millis Scheduler::DelegationDelayOf(const TaskRef& ref, const Task& task,
-                                    Millis now) const {
-  if (VmReservedFor(ref, now)) return settings_.reserved_delegation_delay;
+Millis Scheduler::DelegationDelayOf(const Task& task, Millis now) const {
   // It has waited here before.
   const bool returned = now - task.returned_at < settings_.host_cooldown;
   return returned ? settings_.min_delegation_delay : settings_.delegation_delay;
--- a/src/libs/jobs/scheduler_gangs.cc
+++ b/src/libs/jobs/scheduler_gangs.cc
@@ -1,50 +1,90 @@
 #include <algorithm>
-#include <set>
+#include <functional>
+#include <map>
+#include <string_view>
+#include <utility>
 
+#include "jobs/placement_queue.h"
 #include "jobs/scheduler.h"
 #include "jobs/step_places.h"
 
 namespace basilspur::jobs {
 
+/// Returns the groups of VMs on which the gang may be placed, the preferred
+/// ones first.
+static std::vector<std::vector<Vm*>> GroupsForGang(const StepSpec& spec,
+                                                   std::vector<Vm*> vms) {
+  std::vector<std::vector<Vm*>> groups;
+  if (spec.rack_local) {
+    std::map<std::string_view, std::vector<Vm*>, std::greater<>> racks;
+    for (Vm* vm : vms) {
+      if (!vm->listing.rack.empty()) racks[vm->listing.rack].push_back(vm);
+    }
+    for (auto& [rack, vms_in_rack] : racks)
+      groups.push_back(std::move(vms_in_rack));
+  }
+  groups.push_back(std::move(vms));
+  return groups;
+}
+
 void Scheduler::PlanGang(Job& job, Occurrence& occurrence, int step, Millis now,
                          std::vector<RunCommand>& commands) {
-  std::vector<Task>& tasks = occurrence.steps[step].tasks;
+  const std::vector<Task>& tasks = occurrence.steps[step].tasks;
   const StepSpec& spec = job.record.spec.steps[step];
-  int number = 0;
   for (const Task& task : tasks) {
     if (!NeedsRun(task, now)) return;
-    number = std::max(number, NextRunNumber(job, task));
   }
+  const TaskRef first{job.id, occurrence.number, step, 0};
+  for (const std::vector<Vm*>& vms : GroupsForGang(spec, AllVms())) {
+    if (!HasPlacesForGang(job, first, vms, now)) continue;
+    if (PlaceGang(job, occurrence, step, vms, now, commands)) return;
+  }
+  PlanLaterStart(job, first, AllVms(), now);
+}
+
+bool Scheduler::HasPlacesForGang(const Job& job, const TaskRef& first,
+                                 const std::vector<Vm*>& vms,
+                                 Millis now) const {
+  const StepSpec& spec = job.record.spec.steps[first.step];
+  int missing = spec.count;
+  for (const Vm* vm : vms) {
+    missing -= placer_.CountFreePlaces(*vm, spec, job.record.service, first,
+                                       missing, now);
+    if (missing <= 0) return true;
+  }
+  return false;
+}
+
+bool Scheduler::PlaceGang(Job& job, Occurrence& occurrence, int step,
+                          const std::vector<Vm*>& vms, Millis now,
+                          std::vector<RunCommand>& commands) {
+  std::vector<Task>& tasks = occurrence.steps[step].tasks;
   occurrence.steps[step].ShareNewestCheckpoint();
+  int number = 0;
+  for (const Task& task : tasks)
+    number = std::max(number, NextRunNumber(job, task));
   const Millis waiting_since = tasks.front().waiting_since;
-  std::set<std::string> racks{""};
-  if (spec.rack_local) {
-    for (const auto& [id, vm] : vms_) racks.insert(vm->listing.rack);
+  TaskRef ref{job.id, occurrence.number, step, 0};
+  PlacementQueue queue(placer_, vms, job.record.spec.steps[step],
+                       job.record.service, ref, now);
+  std::vector<RunCommand> placed;
+  for (; ref.index < static_cast<int>(tasks.size()); ++ref.index) {
+    const Placement place = queue.Select(ref, tasks[ref.index]);
+    if (!place.vm) break;
+    StartTask(job, ref, place, number, now, placed);
+    queue.Update(*place.vm);
   }
-  for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack) {
-    std::vector<Vm*> vms = AllVms();
-    if (!rack->empty()) {
-      std::erase_if(vms, [&](Vm* vm) { return vm->listing.rack != *rack; });
-    }
-    std::vector<RunCommand> placed;
-    for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
-      const TaskRef ref{job.id, occurrence.number, step, index};
-      const Placement place = placer_.SelectPlacement(
-          vms, spec, job.record.service, ref, tasks[index], tasks, now);
-      if (!place.vm) break;
-      StartTask(job, ref, place, number, now, placed);
-    }
-    if (placed.size() == tasks.size()) {
-      commands.insert(commands.end(), placed.begin(), placed.end());
-      return;
-    }
-    for (const RunCommand& command : placed) {
-      ReleaseRun(*FindVm(command.vm), command.task, command.run);
-      job.At(command.task).last_run = number - 1;
-    }
-    tasks.front().waiting_since = waiting_since;
+  if (placed.size() == tasks.size()) {
+    commands.insert(commands.end(), placed.begin(), placed.end());
+    return true;
+  }
+  for (const RunCommand& command : placed) {
+    ReleaseRun(*FindVm(command.vm), command.task, command.run);
+    job.At(command.task).last_run = number - 1;
   }
-  PlanLaterStart(job, {job.id, occurrence.number, step, 0}, AllVms(), now);
+  plan_starts_ -= static_cast<int>(placed.size());
+  tasks.front().waiting_since = waiting_since;
+  return false;
 }
 
 static bool HasGangThatEnds(const JobSpec& spec) {
--- a/src/libs/jobs/scheduler_long_running.cc
+++ b/src/libs/jobs/scheduler_long_running.cc
@@ -36,26 +36,25 @@
 void Scheduler::PlanLongRunningTasks(const std::vector<Vm*>& vms, Millis now,
                                      std::vector<RunCommand>& commands) {
   for (const auto& [key, job] : active_jobs_) {
+    const std::vector<StepSpec>& specs = job->record.spec.steps;
     if (!job->record.spec.IsLongRunning() || !CanStartRuns(*job)) continue;
-    job->ForEachTask([&, job = job](const TaskRef& ref, Task& task) {
-      const StepSpec& spec = job->record.spec.steps[ref.step];
-      if (!spec.long_running || spec.gang || !NeedsRun(task, now)) return;
-      const Occurrence& occurrence = *job->FindOccurrence(ref.occurrence);
-      if (!IsUrgent(task, now) || !job->DependenciesDone(occurrence, ref.step))
-        return;
-      PlanTask(*job, ref, vms, now, commands);
-    });
+    for (Occurrence& occurrence : job->occurrences) {
+      for (int step = 0; step < static_cast<int>(specs.size()); ++step) {
+        if (!specs[step].long_running || specs[step].gang) continue;
+        if (!job->DependenciesDone(occurrence, step)) continue;
+        PlanStep(*job, occurrence, step, /*urgent=*/true, vms, now, commands);
+      }
+    }
   }
 }
 
 bool Scheduler::HasVmForLater(const Job& job, const TaskRef& ref,
-                              const std::vector<Task>& siblings,
                               Millis now) const {
   const StepSpec& spec = job.record.spec.steps[ref.step];
   return std::any_of(vms_.begin(), vms_.end(), [&](const auto& entry) {
     const Vm& vm = *entry.second;
     return !vm.ReservationOfOther(ref, now) &&
-           placer_.MayHostLater(vm, spec, job.record.service, siblings, now);
+           placer_.MayHostLater(vm, spec, job.record.service, ref, now);
   });
 }
 
@@ -115,10 +114,8 @@
     const StepSpec& spec = SpecOf(wait.task);
     wait.need_cpu_millis = spec.need.cpu_millis;
     wait.options = OptionsFor(job, wait.task, now);
-    const std::vector<Task>& siblings =
-        job.FindOccurrence(wait.task.occurrence)->steps[wait.task.step].tasks;
     for (const auto& [id, vm] : vms_) {
-      if (placer_.MayHostLater(*vm, spec, job.record.service, siblings, now))
+      if (placer_.MayHostLater(*vm, spec, job.record.service, wait.task, now))
         ++wait.vms_beside_long_running;
     }
     const Vm* reserved = VmReservedFor(wait.task, now);
--- a/src/libs/jobs/scheduler_losses.cc
+++ b/src/libs/jobs/scheduler_losses.cc
@@ -26,7 +26,7 @@
     for (Run& run : task->runs) {
       if (run.vm == vm.listing.id) run.may_have_crashed_vm = true;
     }
-    MarkProgressDirty(*FindJob(suspect.task.job));
+    MarkTaskDirty(*FindJob(suspect.task.job), suspect.task);
     urgent_changes_ = true;
   }
 }
@@ -36,7 +36,7 @@
     Run* run = FindRun(key, vm.listing.id);
     if (!run || !run->may_have_crashed_vm) continue;
     run->may_have_crashed_vm = false;
-    MarkProgressDirty(*FindJob(key.first.job));
+    MarkTaskDirty(*FindJob(key.first.job), key.first);
   }
 }
 
@@ -164,7 +164,7 @@
   for (const LostRun& run : loss.runs) {
     NoteRun(released, vm, {run.task, run.run}, now);
     ReleaseRun(vm, run.task, run.run);
-    if (Job* job = FindJob(run.task.job)) MarkProgressDirty(*job);
+    if (Job* job = FindJob(run.task.job)) MarkTaskDirty(*job, run.task);
   }
   CountCrash(loss);
   if (!loss.runs.empty()) vm_losses_.push_back(std::move(loss));
@@ -177,7 +177,7 @@
     if (!task || task->done || IsFinal(job->record.status)) continue;
     task->crashes = suspect.crashes;
     loss.suspects.push_back(suspect);
-    MarkProgressDirty(*job);
+    MarkTaskDirty(*job, suspect.task);
     urgent_changes_ = true;
     // A successor has to know of more than one crash, so the next start waits
     // for the journal.
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -1,6 +1,9 @@
 #include <algorithm>
+#include <set>
 #include <tuple>
+#include <utility>
 
+#include "jobs/placement_queue.h"
 #include "jobs/scheduler.h"
 
 namespace basilspur::jobs {
@@ -9,6 +12,8 @@
   wall_ms_ = wall_ms;
   ProcessExpiredLeases(now);
   std::vector<RunCommand> commands;
+  plan_starts_ = 0;
+  has_more_to_plan_ = false;
   const bool check = now - last_check_at_ >= settings_.check_interval;
   if (check) {
     last_check_at_ = now;
@@ -37,6 +42,7 @@
   PlanLongRunningTasks(vms, now, commands);
   for (const JobTurn& turn : TurnsInSchedulingOrder()) {
     if (!CanStartRuns(*turn.job)) continue;
+    if (IsPlanFull()) break;
     backfill_.BeginPriority(turn.job->record.priority, vms, now);
     if (turn.first_task_only) {
       PlanFirstTask(*turn.job, vms, now, commands);
@@ -113,12 +119,18 @@
       if (job.record.spec.steps[step].gang) {
         PlanGang(job, occurrence, step, now, commands);
       } else {
-        PlanStep(job, occurrence, step, vms, now, commands);
+        PlanStep(job, occurrence, step, /*urgent=*/false, vms, now, commands);
       }
     }
   }
 }
 
+bool Scheduler::IsPlanFull() {
+  const bool full = plan_starts_ >= settings_.max_starts_per_plan;
+  has_more_to_plan_ = has_more_to_plan_ || full;
+  return full;
+}
+
 bool Scheduler::NeedsRun(const Task& task, Millis now) const {
   return !task.done && task.runs.empty() && now >= task.not_before &&
          !task.IsElsewhere() && task.placement_batch <= durable_batches_ &&
@@ -135,28 +147,57 @@
   auto ref = FirstWaitingTask(job, /*best_effort=*/true, now);
   if (!ref) ref = FirstWaitingTask(job, /*best_effort=*/false, now);
   if (!ref || job.record.spec.steps[ref->step].gang) return;
-  PlanTask(job, *ref, vms, now, commands);
+  PlanTask(job, *ref, vms, /*queue=*/nullptr, now, commands);
+}
+
+/// Returns the indexes of the step's tasks for which VMs are reserved.
+static std::set<int> ReservedTasksOf(const TaskRef& step,
+                                     const std::vector<Vm*>& vms, Millis now) {
+  std::set<int> indexes;
+  for (const Vm* vm : vms) {
+    const auto& reservation = vm->reservation;
+    if (reservation && now < reservation->until &&
+        reservation->task.IsOfStep(step))
+      indexes.insert(reservation->task.index);
+  }
+  return indexes;
 }
 
 void Scheduler::PlanStep(Job& job, Occurrence& occurrence, int step,
-                         const std::vector<Vm*>& vms, Millis now,
+                         bool urgent, const std::vector<Vm*>& vms, Millis now,
                          std::vector<RunCommand>& commands) {
   const std::vector<Task>& tasks = occurrence.steps[step].tasks;
-  for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
-    if (!NeedsRun(tasks[index], now)) continue;
-    const bool long_running = job.record.spec.steps[step].long_running;
-    // PlanLongRunningTasks has tried it.
-    if (long_running && IsUrgent(tasks[index], now)) continue;
-    const TaskRef ref{job.id, occurrence.number, step, index};
-    if (PlanTask(job, ref, vms, now, commands)) continue;
+  const StepSpec& spec = job.record.spec.steps[step];
+  TaskRef ref{job.id, occurrence.number, step, 0};
+  std::optional<PlacementQueue> queue;
+  int tried = 0;
+  // Of the tasks after one that got neither a place nor a reservation, only
+  // these may have a place.
+  std::optional<std::set<int>> with_reservation;
+  for (; ref.index < static_cast<int>(tasks.size()); ++ref.index) {
+    const Task& task = tasks[ref.index];
+    if (!NeedsRun(task, now)) continue;
+    if (spec.long_running && IsUrgent(task, now) != urgent) continue;
+    if (with_reservation && !with_reservation->contains(ref.index) &&
+        !preemptions_.contains(ref))
+      continue;
+    if (IsPlanFull()) return;
+    // Comparing all VMs once is cheaper for a single task.
+    if (++tried == 2)
+      queue.emplace(placer_, vms, spec, job.record.service, ref, now);
+    if (PlanTask(job, ref, vms, queue ? &*queue : nullptr, now, commands))
+      continue;
     // Each long-running task gets a VM of its own reserved.
-    if (!long_running) return;
+    if (!spec.long_running) return;
+    if (with_reservation) continue;
+    std::set<int> reserved = ReservedTasksOf(ref, vms, now);
+    if (!reserved.contains(ref.index)) with_reservation = std::move(reserved);
   }
 }
 
 bool Scheduler::PlanTask(Job& job, const TaskRef& ref,
-                         const std::vector<Vm*>& vms, Millis now,
-                         std::vector<RunCommand>& commands) {
+                         const std::vector<Vm*>& vms, PlacementQueue* queue,
+                         Millis now, std::vector<RunCommand>& commands) {
   const StepSpec& spec = job.record.spec.steps[ref.step];
   const std::string& service = job.record.service;
   if (!backfill_.HasPlannedStart(ref) && unplaceable_.Covers(spec, service) &&
@@ -165,12 +206,11 @@
     PlanLaterStart(job, ref, vms, now);
     return false;
   }
-  const std::vector<Task>& tasks =
-      job.FindOccurrence(ref.occurrence)->steps[ref.step].tasks;
-  const Task& task = tasks[ref.index];
+  const Task& task = job.At(ref);
   if (task.IsSuspect() && !MayIsolateVm(now)) return true;
   const Placement place =
-      placer_.SelectPlacement(vms, spec, service, ref, task, tasks, now);
+      queue ? queue->Select(ref, task)
+            : placer_.SelectPlacement(vms, spec, service, ref, task, now);
   if (!place.vm) {
     const bool reserved = Preempt(job, ref, vms, now, commands);
     if (reserved) return true;
@@ -180,6 +220,7 @@
     return false;
   }
   StartTask(job, ref, place, NextRunNumber(job, task), now, commands);
+  if (queue) queue->Update(*place.vm);
   return true;
 }
 
@@ -228,7 +269,8 @@
   if (place.relief && !job.started) job.started_by_relief_only = true;
   job.started = true;
   job.idle_since = Millis(0);
-  MarkProgressDirty(job);
+  ++plan_starts_;
+  MarkTaskDirty(job, ref);
 }
 
 void Scheduler::PlanPaces(std::vector<RunCommand>& commands) {
--- a/src/libs/jobs/scheduler_preemptions.cc
+++ b/src/libs/jobs/scheduler_preemptions.cc
@@ -50,12 +50,9 @@
   // The stops of a plan are decided at the interval of checks.
   if (now != last_check_at_) return false;
   const StepSpec& spec = job.record.spec.steps[ref.step];
-  const std::vector<Task>& siblings =
-      FindJob(ref.job)->FindOccurrence(ref.occurrence)->steps[ref.step].tasks;
   std::vector<PreemptionPolicy::Option> options;
   for (const Vm* vm : vms) {
-    if (!placer_.LacksOnlyCapacity(*vm, spec, job.record.service, ref, siblings,
-                                   now))
+    if (!placer_.LacksOnlyCapacity(*vm, spec, job.record.service, ref, now))
       continue;
     auto candidates = PreemptionCandidates(*vm, job.record.priority, now);
     if (candidates.empty()) continue;
--- a/src/libs/jobs/scheduler_releases.cc
+++ b/src/libs/jobs/scheduler_releases.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
+#include <set>
 
+#include "jobs/reported_runs.h"
 #include "jobs/scheduler.h"
 
 namespace basilspur::jobs {
@@ -7,11 +9,13 @@
 void Scheduler::ReleaseRun(Vm& vm, const TaskRef& ref, int number) {
   vm.Remove({ref, number});
   orphaned_runs_.erase({vm.listing.id, {ref, number}});
-  Task* task = FindTask(ref);
+  Job* job = FindJob(ref.job);
+  Task* task = job ? job->Find(ref) : nullptr;
   if (!task) return;
   std::erase_if(task->runs, [&](const Run& run) {
     return run.number == number && run.vm == vm.listing.id;
   });
+  job->NoteChange(ref);
 }
 
 Millis Scheduler::StoppedBy(const Run& run) const {
@@ -51,14 +55,11 @@
 
 void Scheduler::ReleaseAbsentRuns(Vm& vm, const VmReport& report, Millis sent,
                                   Millis now) {
+  std::set<RunKey> running;
+  AddRunKeys(report.running, running);
   std::vector<RunKey> absent;
   for (const auto& [key, charge] : vm.Runs()) {
-    const auto has = [&key = key](const auto& row) {
-      return row.task == key.first && row.run == key.second;
-    };
-    if (std::any_of(report.running.begin(), report.running.end(), has)) {
-      continue;
-    }
+    if (running.contains(key)) continue;
     Run* run = FindRun(key, vm.listing.id);
     const bool ended = run ? UpdateAbsentRun(*run, sent)
                            : UpdateAbsentOrphan(*vm.FindRun(key), sent);
@@ -68,7 +69,7 @@
     NoteRun(RunEventKind::kReleasedAsAbsent, vm, key, now);
     ReleaseRun(vm, key.first, key.second);
     Job* job = FindJob(key.first.job);
-    if (job) MarkProgressDirty(*job);
+    if (job) MarkTaskDirty(*job, key.first);
   }
 }
 
--- a/src/libs/jobs/scheduler_relief.cc
+++ b/src/libs/jobs/scheduler_relief.cc
@@ -58,13 +58,10 @@
                                const std::vector<Vm*>& vms, Millis now,
                                std::vector<RunCommand>& commands) {
   const StepSpec& spec = job.record.spec.steps[ref.step];
-  const std::vector<Task>& tasks =
-      job.FindOccurrence(ref.occurrence)->steps[ref.step].tasks;
-  const Placement place = placer_.SelectReliefPlacement(
-      vms, spec, job.record.service, ref, tasks, now);
+  const Placement place =
+      placer_.SelectReliefPlacement(vms, spec, job.record.service, ref, now);
   if (!place.vm) return false;
-  StartTask(job, ref, place, NextRunNumber(job, tasks[ref.index]), now,
-            commands);
+  StartTask(job, ref, place, NextRunNumber(job, job.At(ref)), now, commands);
   return true;
 }
 
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -147,7 +147,7 @@
     const StepSpec& spec = job->record.spec.steps[row.task.step];
     vm.Add(key, MakeRunOnVm(spec));
     job->started = true;
-    MarkProgressDirty(*job);
+    MarkTaskDirty(*job, row.task);
     NoteRun(RunEventKind::kFound, vm, key, now);
   }
   if (!run) {
@@ -174,7 +174,7 @@
   if (run->running_since == Millis(0)) run->running_since = now;
   if (task->IsSuspect() && crash_policy_.IsCleared(sent - run->running_since)) {
     task->crashes = 0;
-    MarkProgressDirty(*job);
+    MarkTaskDirty(*job, row.task);
   }
   run->absent = false;
   if (row.percent > run->percent) {
@@ -186,6 +186,7 @@
   if (at_work && job->record.spec.steps[row.task.step].long_running)
     vm.consecutive_failures = 0;
   task->SaveCheckpoint(row.checkpoint, now);
+  if (!row.checkpoint.empty()) job->NoteChange(row.task);
   if (RunOnVm* charged_run = vm.FindRun(key)) {
     charged_run->measurement = row.measurement;
     charged_run->confirmed = true;
@@ -219,7 +220,7 @@
   if (!counts || IsFinal(job->record.status)) return;
   task->last_run = std::max(task->last_run, row.run);
   job->started = job->begun = true;
-  MarkProgressDirty(*job);
+  MarkTaskDirty(*job, row.task);
   if (void_by || task->done) {
     const RunEventKind ignored = void_by.value_or(RunEventKind::kDoneBefore);
     if (is_done) NoteRun(ignored, vm, key, now, row.number);
@@ -243,6 +244,7 @@
   // The job of a hosted task ends in its home cell.
   if (job.IsGuest()) ReturnTaskOrGang(job, ref);
   if (job.record.spec.steps[ref.step].gang) {
+    MarkProgressDirty(job);
     for (Task& task : step.tasks) task.done = true;
     step.done = static_cast<int>(step.tasks.size());
   } else {
--- a/src/libs/jobs/scheduler_reservations.cc
+++ b/src/libs/jobs/scheduler_reservations.cc
@@ -8,8 +8,6 @@
                                    const std::vector<Vm*>& vms, Millis now) {
   const StepSpec& spec = job.record.spec.steps[ref.step];
   const std::string& service = job.record.service;
-  const std::vector<Task>& siblings =
-      job.FindOccurrence(ref.occurrence)->steps[ref.step].tasks;
   int reserved = 0;
   for (Vm* vm : vms) {
     if (!vm->reservation || now >= vm->reservation->until) continue;
@@ -18,7 +16,7 @@
     // other long-running tasks may have taken its capacity, since it was
     // reserved. The task would wait for it for good.
     const bool may_host =
-        is_own ? placer_.MayHostLater(*vm, spec, service, siblings, now)
+        is_own ? placer_.MayHostLater(*vm, spec, service, ref, now)
                : MaySendStart(vm->listing.id);
     if (!may_host) {
       vm->reservation.reset();
@@ -32,7 +30,7 @@
   const int share =
       static_cast<int>(vms.size()) * settings_.max_reserved_vms_percent / 100;
   if (reserved >= std::max(settings_.max_reservations, share)) return;
-  Vm* vm = placer_.SelectVmToReserve(vms, spec, service, siblings, now);
+  Vm* vm = placer_.SelectVmToReserve(vms, spec, service, ref, now);
   if (!vm) return;
   vm->reservation =
       Reservation{ref, spec.Charge(), now + settings_.reservation_duration,
@@ -70,13 +68,11 @@
                          std::vector<RunCommand>& commands) {
   Job& job = *FindJob(key.first.job);
   if (IsFinal(job.record.status) || !CanStartRuns(job)) return false;
-  Occurrence& occurrence = *job.FindOccurrence(key.first.occurrence);
-  std::vector<Task>& tasks = occurrence.steps[key.first.step].tasks;
   const StepSpec& spec = job.record.spec.steps[key.first.step];
   if (spec.gang) return false;
-  Task& task = tasks[key.first.index];
+  Task& task = job.At(key.first);
   const Placement place = placer_.SelectPlacement(vms, spec, job.record.service,
-                                                  key.first, task, tasks, now);
+                                                  key.first, task, now);
   if (!place.vm) {
     ReserveCapacityFor(job, key.first, vms, now);
     return false;
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -63,6 +63,9 @@
   Millis max_first_start_delay{1'000};
   /// Time after which a reservation expires unless it is renewed.
   Millis reservation_duration{500};
+  /// Number of starts after which a plan ends. The tasks of a gang are started
+  /// together all the same.
+  int max_starts_per_plan = 200;
   /// Maximum number of starts of large tasks that are planned at a time: see
   /// BackfillPolicy. 0: none.
   int max_planned_starts = 0;
--- a/src/libs/jobs/scheduler_waiting.cc
+++ b/src/libs/jobs/scheduler_waiting.cc
@@ -77,12 +77,7 @@
   const StepSpec& spec = job.record.spec.steps[ref.step];
   std::vector<const Vm*> vms;
   for (const auto& [id, vm] : vms_) vms.push_back(vm.get());
-  for (const Occurrence& occurrence : job.occurrences) {
-    if (occurrence.number != ref.occurrence) continue;
-    return placer_.CountOptions(vms, spec, job.record.service, ref,
-                                occurrence.steps[ref.step].tasks, now);
-  }
-  return {};
+  return placer_.CountOptions(vms, spec, job.record.service, ref, now);
 }
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/scheduler_workers.cc
+++ b/src/libs/jobs/scheduler_workers.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "jobs/reported_runs.h"
 #include "jobs/scheduler.h"
 
 namespace basilspur::jobs {
@@ -19,20 +20,15 @@
   return true;
 }
 
-static bool Lists(const VmReport& report, const RunKey& key) {
-  const auto is_run = [&](const auto& row) {
-    return row.task == key.first && row.run == key.second;
-  };
-  return std::any_of(report.running.begin(), report.running.end(), is_run) ||
-         std::any_of(report.ended.begin(), report.ended.end(), is_run);
-}
-
 std::set<RunKey> Scheduler::RunsOfNewWorker(const Vm& vm,
                                             const VmReport& report,
                                             Millis sent) {
+  std::set<RunKey> listed;
+  AddRunKeys(report.running, listed);
+  AddRunKeys(report.ended, listed);
   std::set<RunKey> kept;
   for (const auto& [key, charged_run] : vm.Runs()) {
-    if (Lists(report, key)) {
+    if (listed.contains(key)) {
       kept.insert(key);
       continue;
     }
--- a/src/libs/jobs/task_ref.h
+++ b/src/libs/jobs/task_ref.h
@@ -17,6 +17,12 @@
 
   auto operator<=>(const TaskRef& other) const = default;
 
+  /// Whether both are tasks of the same step and occurrence of a job.
+  bool IsOfStep(const TaskRef& other) const {
+    return job == other.job && occurrence == other.occurrence &&
+           step == other.step;
+  }
+
   /// Returns "JOB.OCCURRENCE.STEP.INDEX".
   std::string ToString() const {
     return job + "." + std::to_string(occurrence) + "." + std::to_string(step) +
--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -1,6 +1,7 @@
 #include "jobs/vm.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace basilspur::jobs {
 
@@ -19,6 +20,10 @@
   return run;
 }
 
+static std::tuple<std::string, int, int> StepOf(const TaskRef& task) {
+  return {task.job, task.occurrence, task.step};
+}
+
 Vm::Vm(VmListing listing) : listing(std::move(listing)) {}
 
 std::optional<std::int64_t> Vm::LeaseDeadline(Millis lease, Millis now) const {
@@ -136,6 +141,7 @@
 
 void Vm::Add(const RunKey& key, const RunOnVm& run) {
   if (!runs_.emplace(key, run).second) return;
+  ++runs_by_step_[StepOf(key.first)];
   tail_predictions.clear();
   if (run.needs_unknown) ++unknown_run_count_;
   used_ = used_ + run.charge;
@@ -158,6 +164,15 @@
     serving_cpu_millis_ -= found->second.charge.cpu_millis;
   }
   runs_.erase(found);
+  const auto step = runs_by_step_.find(StepOf(key.first));
+  if (--step->second == 0) runs_by_step_.erase(step);
+}
+
+int Vm::CountRunsOfStep(const TaskRef& task) const {
+  const std::tuple<std::string_view, int, int> step(task.job, task.occurrence,
+                                                    task.step);
+  const auto found = runs_by_step_.find(step);
+  return found == runs_by_step_.end() ? 0 : found->second;
 }
 
 const Reservation* Vm::ReservationOfOther(const TaskRef& task,
--- a/src/libs/jobs/vm.h
+++ b/src/libs/jobs/vm.h
@@ -2,9 +2,11 @@
 #define BASILSPUR_JOBS_VM_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -172,6 +174,8 @@
   records::Resources CapacityBesideLongRunning() const;
   /// Whether one of the runs is a relief run.
   bool HasReliefRun() const;
+  /// Number of the runs that are of the task's step and occurrence.
+  int CountRunsOfStep(const TaskRef& task) const;
   /// Returns null if the run is not charged to this VM.
   RunOnVm* FindRun(const RunKey& key);
 
@@ -225,6 +229,8 @@
   int serving_run_count_ = 0;
   std::int64_t serving_cpu_millis_ = 0;
   int unknown_run_count_ = 0;  ///< Runs whose needs are unknown.
+  /// By job, occurrence and step. A step may have thousands of tasks.
+  std::map<std::tuple<std::string, int, int>, int, std::less<>> runs_by_step_;
   std::map<RunKey, RunOnVm> runs_;
   bool has_entry_ = true;
   WorkerClock clock_;
--- a/src/tools/basilspur_plan_bench/step_bench.cc
+++ b/src/tools/basilspur_plan_bench/step_bench.cc
@@ -54,8 +54,8 @@
     scheduler_.ApplyCatalog(catalog);
     // A rack has to hold all tasks of a gang that may not leave it.
     const int sharing = form.rack_local ? std::min(vms, kVmsPerRack) : vms;
-    const int tasks_per_vm = (form.has_room ? 2 : 1) * tasks / sharing + 1;
-    const int places = form.has_room ? tasks_per_vm : tasks_per_vm / 2;
+    const int tasks_per_vm = 2 * tasks / sharing + 1;
+    const int places = form.has_room ? tasks_per_vm : tasks / 2 / vms;
     for (int number = 0; number < vms; ++number) AddVm(number, places);
     StepSpec step;
     step.count = tasks;
--- a/tests/auto/jobs/backfill_policy_test.cc
+++ b/tests/auto/jobs/backfill_policy_test.cc
@@ -86,7 +86,7 @@
     spec.image = image;
     spec.long_running = long_running;
     return placer
-        .SelectPlacement(vms, spec, service, {job, 0, 0, 0}, Task{}, {}, now)
+        .SelectPlacement(vms, spec, service, {job, 0, 0, 0}, Task{}, now)
         .vm;
   }
 
--- a/tests/auto/jobs/repeated_jobs_test.cc
+++ b/tests/auto/jobs/repeated_jobs_test.cc
@@ -95,7 +95,10 @@
   fixture.Report(listing.id, {});
   fixture.Flush();
   fixture.Accept(kJob, MakeSeries(5'000, 1, fixture.wall_ms));
-  const std::vector<RunCommand> starts = fixture.Plan();
+  std::vector<RunCommand> starts;
+  do {
+    for (const RunCommand& start : fixture.Plan()) starts.push_back(start);
+  } while (fixture.scheduler.HasMoreToPlan());
   REQUIRE(starts.size() == 5'000);
   std::vector<RunningRunReport> running;
   for (const RunCommand& start : starts) {
--- a/tests/auto/jobs/task_copies_test.cc
+++ b/tests/auto/jobs/task_copies_test.cc
@@ -89,10 +89,6 @@
 
 TEST_CASE("both runs count towards the limit of tasks per VM") {
   SchedulerFixture fixture;
-  std::vector<Task> tasks(2);
-  tasks[0].runs.resize(2);
-  tasks[0].runs[0].vm = "a1";
-  tasks[0].runs[1].vm = "b1";
   const TailController tails{TailControllerSettings{}};
   const DataCenterClosures closures;
   const RunTimes run_times;
@@ -102,13 +98,15 @@
   listing.capacity = {16'000, 64'000, 0};
   StepSpec step = SchedulerFixture::MakeStep(2, 1'000);
   step.max_per_vm = 1;
+  int run = 0;
   for (const char* id : {"a1", "b1"}) {
     listing.id = id;
     Vm vm(listing);
+    vm.Add({{kJob, 0, 0, 0}, ++run}, MakeRunOnVm(step));
     vm.reachable = vm.in_journal = true;
     CHECK_FALSE(placer
                     .SelectPlacement({&vm}, step, "workers", {kJob, 0, 0, 1},
-                                     tasks[1], tasks, fixture.now)
+                                     Task{}, fixture.now)
                     .vm);
   }
 }
