Refuse a gang that all VMs together can't hold

It counts the places of all listed VMs of the service now, draining and closed ones included. As for other refusals, the list has to be known in full; besides, no VM may have left it for 30 s, since VMs are replaced. Its test does not compile before the change.

--- a/src/libs/cell/cell_owner_requests.cc
+++ b/src/libs/cell/cell_owner_requests.cc
@@ -88,15 +88,25 @@
   return std::nullopt;
 }
 
+static const char* NameOf(jobs::AdmissionRefusal refusal) {
+  switch (refusal) {
+    case jobs::AdmissionRefusal::kTooLarge:
+      return "task_too_large";
+    case jobs::AdmissionRefusal::kGangTooLarge:
+      return "gang_too_large";
+    case jobs::AdmissionRefusal::kMissingLabel:
+      return "missing_label";
+  }
+  return "";
+}
+
 std::optional<JobReply> CellOwner::RefuseUnservable(
     const JobRequest& request, const std::string& service) const {
   if (!callbacks_.check_admission) return std::nullopt;
   const auto refusal = callbacks_.check_admission(service, request.spec);
   if (!refusal) return std::nullopt;
-  const bool too_large = *refusal == jobs::AdmissionRefusal::kTooLarge;
-  kLog.Info("event=job_refused job=" + request.job +
-            " reason=" + (too_large ? "task_too_large" : "missing_label") +
-            " service=" + service + LogFields());
+  kLog.Info("event=job_refused job=" + request.job + " reason=" +
+            NameOf(*refusal) + " service=" + service + LogFields());
   JobReply reply{ReplyKind::kBusy};
   reply.retry_after_ms = kUnservableRetryAfterMs;
   return reply;
--- a/src/libs/cell/node.cc
+++ b/src/libs/cell/node.cc
@@ -210,6 +210,7 @@
     if (member->Owner()) member->Owner()->OnVmUnlisted(id);
   }
   vms_.erase(found);
+  admission_.OnVmGone(clock_.Monotonic());
 }
 
 int Node::OwnedCells() const {
--- a/src/libs/jobs/admission_policy.h
+++ b/src/libs/jobs/admission_policy.h
@@ -15,6 +15,7 @@
 /// Why a job is refused at its submission.
 enum class AdmissionRefusal {
   kTooLarge,      ///< A task is larger than each VM that it may run on.
+  kGangTooLarge,  ///< All VMs together can't host the tasks of a gang at once.
   kMissingLabel,  ///< No listed VM has the label or rack that a step requires.
 };
 
@@ -31,6 +32,7 @@
 
   struct Counters {
     std::int64_t too_large = 0;
+    std::int64_t gang_too_large = 0;
     std::int64_t missing_label = 0;
   };
 
@@ -38,6 +40,8 @@
   void OnListStarted(Millis now);
   /// A VM is listed that was not before.
   void OnNewVm(Millis now) { last_new_vm_ = now; }
+  /// A VM is no longer listed. Another one may replace it.
+  void OnVmGone(Millis now) { last_gone_vm_ = now; }
 
   /// Whether the list was read for long enough to be known in full.
   bool KnowsFleet(Millis now) const;
@@ -51,9 +55,14 @@
   static std::optional<AdmissionRefusal> CheckStep(const std::string& service,
                                                    const StepSpec& step,
                                                    const Vms& vms);
+  /// Whether all VMs together could host the gang if nothing else ran there.
+  static bool MayHoldGang(const std::string& service, const StepSpec& gang,
+                          const Vms& vms);
+  void Count(AdmissionRefusal refusal);
 
   std::optional<Millis> started_at_;
   Millis last_new_vm_;
+  std::optional<Millis> last_gone_vm_;
   Counters counters_;
 };
 
--- a/tests/auto/jobs/admission_policy_test.cc
+++ b/tests/auto/jobs/admission_policy_test.cc
@@ -65,6 +65,43 @@
   CHECK(policy.Counts().missing_label == 1);
 }
 
+/// A gang of tasks that need 8 cores each: the VMs hold 8 of them.
+static JobSpec MakeGang(int count) {
+  JobSpec spec = MakeJob(8'000);
+  spec.steps[1].count = count;
+  spec.steps[1].gang = true;
+  return spec;
+}
+
+// LOST: a gang that can never start was accepted and waited for ever.
+TEST_CASE("a gang that all listed VMs together can't hold is refused") {
+  AdmissionPolicy policy = MakePolicy();
+  const auto check = [&](const JobSpec& spec) {
+    return policy.Check(kService, spec, MakeVms(), kKnown);
+  };
+  CHECK(!check(MakeGang(8)));
+  CHECK(check(MakeGang(9)) == AdmissionRefusal::kGangTooLarge);
+  CHECK(policy.Counts().gang_too_large == 1);
+  JobSpec limited = MakeGang(8);
+  limited.steps[1].max_per_vm = 3;
+  CHECK(check(limited) == AdmissionRefusal::kGangTooLarge);
+  JobSpec on_rack = MakeGang(5);
+  on_rack.steps[1].required_label = "rack-a";
+  CHECK(check(on_rack) == AdmissionRefusal::kGangTooLarge);
+  JobSpec no_gang = MakeGang(100);
+  no_gang.steps[1].gang = false;
+  CHECK(!check(no_gang));
+}
+
+TEST_CASE("no gang is refused while VMs may be replaced") {
+  AdmissionPolicy policy = MakePolicy();
+  policy.OnVmGone(kKnown - Millis(1'000));
+  CHECK(!policy.Check(kService, MakeGang(9), MakeVms(), kKnown));
+  CHECK(
+      policy.Check(kService, MakeGang(9), MakeVms(), kKnown + Millis(60'000)) ==
+      AdmissionRefusal::kGangTooLarge);
+}
+
 TEST_CASE("a VM counts while it is listed, even if it drains") {
   AdmissionPolicy policy = MakePolicy();
   AdmissionPolicy::Vms vms = MakeVms();
