Late copies of a start are accounted for before the ends that they may follow

An owner kept nothing of unanswered starts, and its successor neither.

LateStarts keeps them for 12.5 s, the longest that a VM may take. Meanwhile no end as done or failed of their tasks is acknowledged, on any VM; the tasks count as done, and callers see it. Another run of such a task starts only on the VM that has received the copy, which executes one run of a task at a time, or waits. A start that was certainly the only copy is forgotten once its run is seen. Hosts return such tasks after the copies' time. If a VM's list of ends is full, its held ends are acknowledged, else later ends would not be seen.

Not accounted for: long-running tasks, which may not wait, and starts that an owner sent and could not record before it was killed.

--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -36,10 +36,14 @@
   /// When this owner first learned that the VM executes the run; 0: not yet.
   Millis running_since;
   int starts_sent = 0;
+  Millis start_sent_at;  ///< When the last start was sent; 0: restored run.
   /// Number of the first journal batch that lists the run; 0: restored run.
   std::int64_t journal_batch = 0;
   int percent = 0;
   bool had_unanswered_start = false;  ///< A start was not answered.
+  /// First journal batch that says so. The start is not sent again before a
+  /// successor would know of the unanswered one.
+  std::int64_t late_start_batch = 0;
   bool stop_confirmed = false;
   /// The VM has closed the connection, and the run may have crashed it.
   bool may_have_crashed_vm = false;
--- a/src/libs/jobs/job_progress.h
+++ b/src/libs/jobs/job_progress.h
@@ -100,6 +100,21 @@
   }
 };
 
+/// A run whose start the VM may still carry out after the run has ended: see
+/// LateStarts.
+struct LateStartRecord {
+  std::string job;
+  int occurrence = 0;
+  int step = 0;
+  int index = 0;
+  int run = 0;
+
+  template <class Self, class A>
+  static void Describe(Self& self, A& archive) {
+    archive(self.job, self.occurrence, self.step, self.index, self.run);
+  }
+};
+
 /// Journal record of a VM.
 struct VmRecord {
   /// Run ends up to this number are in the journal.
@@ -110,11 +125,12 @@
   /// Calls that were meant for a former worker may have given this one the
   /// longest lease that VMs grant.
   bool may_hold_long_lease = false;
+  std::vector<LateStartRecord> late_starts = {};
 
   template <class Self, class A>
   static void Describe(Self& self, A& archive) {
     archive(self.last_end, self.address, self.worker_start_ms,
-            self.may_hold_long_lease);
+            self.may_hold_long_lease, self.late_starts);
   }
 };
 
--- a/src/libs/jobs/run_event.cc
+++ b/src/libs/jobs/run_event.cc
@@ -30,6 +30,10 @@
       return "runs_released_as_absent";
     case RunEventKind::kReleasedAsRefused:
       return "runs_released_as_refused";
+    case RunEventKind::kEndHeld:
+      return "ends_held";
+    case RunEventKind::kHoldGivenUp:
+      return "ends_not_held_longer";
   }
   return "";
 }
--- a/src/libs/jobs/run_event.h
+++ b/src/libs/jobs/run_event.h
@@ -29,9 +29,12 @@
   kReleasedAsAbsent,   ///< The VM's reports lack it for longer than a stop
                        ///< takes.
   kReleasedAsRefused,  ///< Its only start was refused or not sent.
+  // Its end is not acknowledged yet, since the task may be started after it:
+  kEndHeld,
+  kHoldGivenUp,  ///< It is acknowledged all the same: the VM's list is full.
 };
 inline constexpr int kRunEventKinds =
-    static_cast<int>(RunEventKind::kReleasedAsRefused) + 1;
+    static_cast<int>(RunEventKind::kHoldGivenUp) + 1;
 
 /// Returns the event's name in the log.
 const char* NameOf(RunEventKind kind);
--- a/src/libs/jobs/scheduler.cc
+++ b/src/libs/jobs/scheduler.cc
@@ -115,11 +115,16 @@
   // record, so its longest lease has begun by now.
   if (record.may_hold_long_lease)
     vm.InheritLongLease(now + Vm::MaxDurationOf(settings_.max_vm_lease));
+  for (const LateStartRecord& late : record.late_starts) {
+    const TaskRef task{late.job, late.occurrence, late.step, late.index};
+    late_starts_.Add(id, {task, late.run}, now + settings_.max_start_delay);
+  }
   lease_authority_.OnVmRestored();
 }
 
 void Scheduler::FinishRestore(int first_run_number, Millis now) {
   first_run_number_ = first_run_number;
+  restored_at_ = now;
   ProcessExpiredLeases(now);
 }
 
@@ -326,7 +331,8 @@
     Vm& known = *FindVm(vm);
     if (known.journal_batch == 0) known.journal_batch = batch.number;
     const VmRecord record{end, known.listing.address, known.worker_start_ms,
-                          known.long_lease_until > Millis(0)};
+                          known.long_lease_until > Millis(0),
+                          late_starts_.RecordsOf(vm)};
     batch.entries.push_back({"v" + vm, records::Encode(record)});
     batch.ends[vm] = {known.worker_start_ms, end};
   }
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -19,6 +19,7 @@
 #include "jobs/data_center_closures.h"
 #include "jobs/delegation.h"
 #include "jobs/delegation_policy.h"
+#include "jobs/held_end.h"
 #include "jobs/job.h"
 #include "jobs/job_tier_policy.h"
 #include "jobs/job_turn.h"
@@ -26,6 +27,7 @@
 #include "jobs/known_run.h"
 #include "jobs/known_worker.h"
 #include "jobs/late_job_order.h"
+#include "jobs/late_starts.h"
 #include "jobs/lease_authority.h"
 #include "jobs/long_running_wait.h"
 #include "jobs/moved_jobs.h"
@@ -208,9 +210,9 @@
   /// True if run ends were processed that are not durable yet, and so must not
   /// be acknowledged. The next batches make them durable.
   bool HasNonDurableEnds(const std::string& vm) const;
-  /// True if the acknowledgement of an end waits for a copy whose start may
-  /// still take effect. No batch is pending for it, and the VM repeats the end
-  /// in each report.
+  /// True if the acknowledgement of an end waits for a start that may still
+  /// take effect. No batch is pending for it, and the VM repeats the end in
+  /// each report.
   bool HasHeldEnds(const std::string& vm) const;
   /// Processes the VM's answer to a renewal that was sent at `sent`.
   void OnReport(const std::string& vm, const VmReport& report, Millis sent,
@@ -502,11 +504,18 @@
   bool PlanTask(Job& job, const TaskRef& ref, const std::vector<Vm*>& vms,
                 PlacementQueue* queue, Millis now,
                 std::vector<RunCommand>& commands);
+  /// Starts a task that a late copy of a start may start, too: only on the VM
+  /// that has received the copy, which executes one run of a task at a time.
+  /// Else the task waits. Returns true.
+  bool PlanBesideLateStart(Job& job, const TaskRef& ref, PlacementQueue* queue,
+                           Millis now, std::vector<RunCommand>& commands);
   /// No VM has room for the task, or the gang that it begins.
   void PlanLaterStart(const Job& job, const TaskRef& ref,
                       const std::vector<Vm*>& vms, Millis now);
   void PlanGang(Job& job, Occurrence& occurrence, int step, Millis now,
                 std::vector<RunCommand>& commands);
+  /// Whether a late copy of a start may start one of `count` tasks of a step.
+  bool MayStartLate(TaskRef first, int count) const;
   /// Whether the VMs have as many free places as the gang has tasks. They may
   /// still be too slow for best-effort tasks.
   bool HasPlacesForGang(const Job& job, const TaskRef& first,
@@ -570,7 +579,7 @@
   void StartCopy(const SlowTask& slow, const std::vector<Vm*>& vms, Millis now);
   /// A VM reports the end of a run of a known task. `run_time`: empty if it is
   /// not known or the run was slowed down.
-  void ObserveEndForCopies(const Vm& vm, const Job& job, Task& task,
+  void ObserveEndForCopies(const Job& job, Task& task,
                            const EndedRunReport& row,
                            std::optional<Millis> run_time);
   /// The task is done by the run of `row`, which is no longer one of its runs.
@@ -580,9 +589,28 @@
   bool MayStartYet(const Run& run) const;
   /// Returns a run with a higher number than `run` that may start yet, or null.
   const Run* RunThatMayStartAfter(const Task& task, int run) const;
-  /// Withholds the acknowledgement of the end if a copy may start after it.
-  void HoldEnd(const Vm& vm, const Task& task, const EndedRunReport& row);
-  void ReleaseHeldEnds();
+  /// A copy of the run's start may take effect on the VM until `until`.
+  void NoteLateStart(Vm& vm, const RunKey& key, Millis until);
+  /// The run's start that was sent at `sent` was not answered.
+  void NoteUnansweredStart(Vm& vm, const RunKey& key, Run& run, Millis sent);
+  /// Whether the VM has carried out the only start that was sent.
+  static bool IsOnlyCopyExecuted(const Run& run);
+  /// The VM executes the run, or has ended it.
+  void ForgetExecutedStart(Vm& vm, const RunKey& key, const Run& run);
+  /// The run is about to be released. It may not have begun.
+  /// `vm_has_answered`: its VM does not list it, or executes no run of before.
+  void NoteStartOfReleasedRun(Vm& vm, const RunKey& key, bool vm_has_answered);
+  /// Withholds the acknowledgement of the end if the task may be started after
+  /// it. `job` and `task` are null if they are not known.
+  void HoldEnd(const Vm& vm, const Job* job, const Task* task,
+               const EndedRunReport& row, Millis now);
+  /// Whether a late copy may start the task after an end that is reported now.
+  bool MayStartAfterEnd(const TaskRef& task) const;
+  bool MustHold(const HeldEnd& end);
+  void ReleaseHeldEnds(Millis now);
+  /// The VM has more ends than it lists. Those that are held for late copies
+  /// are acknowledged, since the owner can't learn of the others otherwise.
+  void ReleaseEndsOfFullList(const Vm& vm, Millis now);
   /// Returns the newest end of the VM, up to `end`, that the journal may name.
   std::int64_t LastEndToRecord(const std::string& vm, std::int64_t end) const;
   static RunCommand MakeStart(const Job& job, const TaskRef& ref,
@@ -683,7 +711,12 @@
   std::map<TaskRef, TaskCopy> copies_;  ///< Whose runs may be executing.
   std::vector<CopyEvent> copy_events_;  ///< Not yet taken by TakeCopyEvents.
   CopyCounts copy_counts_;
-  std::vector<HeldEnd> held_ends_;
+  LateStarts late_starts_;
+  /// Starts of earlier owners that may not have been carried out when this one
+  /// took over. Their tasks need not wait, but their ends are held.
+  LateStarts inherited_starts_;
+  std::map<std::string, std::vector<HeldEnd>> held_ends_;  ///< By VM.
+  Millis restored_at_;  ///< When the cell was taken over.
   bool all_vms_reconciled_ = true;
   bool journal_complete_ = false;
   bool starts_held_ = false;
--- a/src/libs/jobs/scheduler_copies.cc
+++ b/src/libs/jobs/scheduler_copies.cc
@@ -36,7 +36,6 @@
 }
 
 void Scheduler::UpdateCopies(Millis now, std::vector<RunCommand>& commands) {
-  ReleaseHeldEnds();
   for (auto it = copies_.begin(); it != copies_.end();) {
     const bool keep = UpdateCopy(it->first, it->second, now, commands);
     it = keep ? std::next(it) : copies_.erase(it);
@@ -80,6 +79,7 @@
   copy.withheld = false;
   run->starts_sent = 1;
   run->created_at = run->last_command_at = run->progressed_at = now;
+  run->start_sent_at = now;
   commands.push_back(MakeStart(job, ref, *run));
   commands.back().checkpoint = task.checkpoint;
 }
@@ -199,14 +199,12 @@
   copy_events_.push_back({CopyEventKind::kStarted, slow.ref, copy, Millis(0)});
 }
 
-void Scheduler::ObserveEndForCopies(const Vm& vm, const Job& job, Task& task,
+void Scheduler::ObserveEndForCopies(const Job& job, Task& task,
                                     const EndedRunReport& row,
                                     std::optional<Millis> run_time) {
   const bool eligible =
       CopyPolicy::IsEligible(job.record.spec.steps[row.task.step]);
-  if (!eligible || row.end != RunEnd::kDone) return;
-  HoldEnd(vm, task, row);
-  if (!run_time || task.done) return;
+  if (!eligible || !run_time || task.done) return;
   task.run_time = *run_time;
   copy_policy_.OnRunDone(KindOf(job, row.task), *run_time);
 }
@@ -251,36 +249,4 @@
   return nullptr;
 }
 
-void Scheduler::HoldEnd(const Vm& vm, const Task& task,
-                        const EndedRunReport& row) {
-  if (!RunThatMayStartAfter(task, row.run)) return;
-  held_ends_.push_back(
-      {vm.listing.id, row.number, vm.worker_start_ms, row.task, row.run});
-}
-
-void Scheduler::ReleaseHeldEnds() {
-  std::erase_if(held_ends_, [&](const HeldEnd& held) {
-    const Vm* vm = FindVm(held.vm);
-    if (!vm || vm->worker_start_ms != held.worker_start_ms) return true;
-    const Task* task = FindTask(held.task);
-    if (task && RunThatMayStartAfter(*task, held.run)) return false;
-    dirty_vms_[held.vm] = vm->last_end;
-    urgent_changes_ = true;
-    return true;
-  });
-}
-
-bool Scheduler::HasHeldEnds(const std::string& vm) const {
-  return std::any_of(held_ends_.begin(), held_ends_.end(),
-                     [&](const HeldEnd& held) { return held.vm == vm; });
-}
-
-std::int64_t Scheduler::LastEndToRecord(const std::string& vm,
-                                        std::int64_t end) const {
-  for (const HeldEnd& held : held_ends_) {
-    if (held.vm == vm) end = std::min(end, held.number - 1);
-  }
-  return end;
-}
-
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/scheduler_delegated_results.cc
+++ b/src/libs/jobs/scheduler_delegated_results.cc
@@ -51,7 +51,7 @@
                                    std::vector<TaskRef>& tasks) {
   TaskRef ref{job.id, occurrence, step, 0};
   for (Task& task : job.FindOccurrence(occurrence)->steps[step].tasks) {
-    if (NeedsRun(task, now)) {
+    if (NeedsRun(task, now) && !late_starts_.MayStart(ref)) {
       if (task.waiting_since == Millis(0)) task.waiting_since = now;
       if (now - task.waiting_since >= delay) tasks.push_back(ref);
     }
--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -311,7 +311,8 @@
       [&](const auto& item) { return item.first.second.first == ref; });
   const bool returned = task.runs.empty() && !has_orphan &&
                         task.placement_batch <= durable_batches_ &&
-                        HasCompleteRunState();
+                        HasCompleteRunState() &&
+                        (task.done || !late_starts_.MayStart(ref));
   row.state =
       returned ? DelegationState::kReturned : DelegationState::kReturning;
   row.last_run = NextRunNumber(job, task) - 1;
--- a/src/libs/jobs/scheduler_gangs.cc
+++ b/src/libs/jobs/scheduler_gangs.cc
@@ -31,10 +31,11 @@
                          std::vector<RunCommand>& commands) {
   const std::vector<Task>& tasks = occurrence.steps[step].tasks;
   const StepSpec& spec = job.record.spec.steps[step];
+  const TaskRef first{job.id, occurrence.number, step, 0};
   for (const Task& task : tasks) {
     if (!NeedsRun(task, now)) return;
   }
-  const TaskRef first{job.id, occurrence.number, step, 0};
+  if (MayStartLate(first, spec.count)) return;
   for (const std::vector<Vm*>& vms : GroupsForGang(spec, AllVms())) {
     if (!HasPlacesForGang(job, first, vms, now)) continue;
     if (PlaceGang(job, occurrence, step, vms, now, commands)) return;
@@ -121,12 +122,21 @@
       job.DependenciesDone(occurrence, step) &&
       std::all_of(tasks.begin(), tasks.end(),
                   [&](const Task& task) { return NeedsRun(task, now); });
-  if (!waits) return false;
+  if (!waits || MayStartLate({job.id, occurrence.number, step, 0}, spec.count))
+    return false;
   Millis& since = tasks.front().waiting_since;
   if (since == Millis(0)) since = now;
   return now - since >= settings_.delegation_delay;
 }
 
+bool Scheduler::MayStartLate(TaskRef first, int count) const {
+  if (late_starts_.Count() == 0) return false;
+  for (; first.index < count; ++first.index) {
+    if (late_starts_.MayStart(first)) return true;
+  }
+  return false;
+}
+
 bool Scheduler::CanHold(const StepSpec& spec,
                         const std::string& service) const {
   int places = 0;
--- a/src/libs/jobs/scheduler_losses.cc
+++ b/src/libs/jobs/scheduler_losses.cc
@@ -54,6 +54,9 @@
     return false;
   }
   LoseRuns(vm, VmLossCause::kRestarted, now, {}, restarted_before);
+  // Whatever starts there has another id, and rejects calls for this one.
+  if (late_starts_.RemoveAllOn(vm.listing.id))
+    dirty_vms_.try_emplace(vm.listing.id, vm.last_end);
   vm.reachable = false;
   vm.reconciled = true;
   vm.lease_expired = true;
@@ -163,6 +166,8 @@
                                     : RunEventKind::kReleasedByRestart;
   for (const LostRun& run : loss.runs) {
     NoteRun(released, vm, {run.task, run.run}, now);
+    NoteStartOfReleasedRun(vm, {run.task, run.run},
+                           cause == VmLossCause::kRestarted);
     ReleaseRun(vm, run.task, run.run);
     if (Job* job = FindJob(run.task.job)) MarkTaskDirty(*job, run.task);
   }
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -21,6 +21,7 @@
     PlanStopsOfOrphanedRuns(now, commands);
   }
   PlanPaces(commands);
+  ReleaseHeldEnds(now);
   UpdateCopies(now, commands);
   PlanStopsOfEndedJobs(now, commands);
   const std::vector<Vm*> vms = AllVms();
@@ -208,6 +209,8 @@
   }
   const Task& task = job.At(ref);
   if (task.IsSuspect() && !MayIsolateVm(now)) return true;
+  if (late_starts_.MayStart(ref))
+    return PlanBesideLateStart(job, ref, queue, now, commands);
   const Placement place =
       queue ? queue->Select(ref, task)
             : placer_.SelectPlacement(vms, spec, service, ref, task, now);
@@ -224,6 +227,28 @@
   return true;
 }
 
+bool Scheduler::PlanBesideLateStart(Job& job, const TaskRef& ref,
+                                    PlacementQueue* queue, Millis now,
+                                    std::vector<RunCommand>& commands) {
+  const std::string* only = late_starts_.OnlyVmOf(ref);
+  Vm* vm = only ? FindVm(*only) : nullptr;
+  const Task& task = job.At(ref);
+  const auto has_failed_there = [&] {
+    return std::find(task.failed_on.begin(), task.failed_on.end(), *only) !=
+           task.failed_on.end();
+  };
+  // The task waits. Others like it may have places. A VM that goes down and up
+  // would seem to be crashed by the task.
+  if (!vm || task.IsSuspect() || has_failed_there()) return true;
+  const Placement place =
+      placer_.SelectPlacement({vm}, job.record.spec.steps[ref.step],
+                              job.record.service, ref, task, now);
+  if (!place.vm) return true;
+  StartTask(job, ref, place, NextRunNumber(job, task), now, commands);
+  if (queue) queue->Update(*place.vm);
+  return true;
+}
+
 RunCommand Scheduler::MakeStart(const Job& job, const TaskRef& ref,
                                 const Run& run) {
   RunCommand command;
@@ -246,6 +271,7 @@
   run.number = number;
   run.vm = vm.listing.id;
   run.created_at = run.last_command_at = run.progressed_at = now;
+  run.start_sent_at = now;
   run.starts_sent = 1;
   run.journal_batch = taken_batches_ + 1;
   task.last_run = number;
--- a/src/libs/jobs/scheduler_releases.cc
+++ b/src/libs/jobs/scheduler_releases.cc
@@ -67,6 +67,7 @@
   }
   for (const RunKey& key : absent) {
     NoteRun(RunEventKind::kReleasedAsAbsent, vm, key, now);
+    NoteStartOfReleasedRun(vm, key, /*vm_has_answered=*/true);
     ReleaseRun(vm, key.first, key.second);
     Job* job = FindJob(key.first.job);
     if (job) MarkTaskDirty(*job, key.first);
--- a/src/libs/jobs/scheduler_relief.cc
+++ b/src/libs/jobs/scheduler_relief.cc
@@ -46,6 +46,7 @@
     const StepSpec& spec = job->record.spec.steps[ref->step];
     if (spec.gang || unplaceable.Covers(spec, job->record.service)) continue;
     if (job->At(*ref).IsSuspect() && !MayIsolateVm(now)) continue;
+    if (late_starts_.MayStart(*ref)) continue;
     if (StartReliefRun(*job, *ref, vms, now, commands)) {
       --left;
     } else {
--- a/src/libs/jobs/scheduler_reports.cc
+++ b/src/libs/jobs/scheduler_reports.cc
@@ -91,6 +91,7 @@
     vm->last_end = row.number;
     dirty_vms_[id] = row.number;
   }
+  if (report.may_have_more_ends) ReleaseEndsOfFullList(*vm, now);
   vm->may_list_void_ends =
       report.may_have_more_ends && (void_by || vm->may_list_void_ends);
   for (const RunningRunReport& row : report.running)
@@ -172,6 +173,7 @@
   if (run->stop_confirmed && sent > StoppedBy(*run))
     run->stop_confirmed = false;
   if (run->running_since == Millis(0)) run->running_since = now;
+  ForgetExecutedStart(vm, key, *run);
   if (task->IsSuspect() && crash_policy_.IsCleared(sent - run->running_since)) {
     task->crashes = 0;
     MarkTaskDirty(*job, row.task);
@@ -211,7 +213,9 @@
     tier_policy_.OnRunDone(job->record.queue, *run_time);
     run_times_.Add(charged_run->image, *run_time);
   }
-  if (task) ObserveEndForCopies(vm, *job, *task, row, run_time);
+  if (run) ForgetExecutedStart(vm, key, *run);
+  HoldEnd(vm, job, task, row, now);
+  if (task) ObserveEndForCopies(*job, *task, row, run_time);
   const bool known = run || unjournaled;
   const bool counts =
       known || (!may_be_void && CountsWithoutRun(job, task, row));
@@ -337,7 +341,7 @@
       if (charged_run) charged_run->confirmed = true;
       return;
     case RunCommandOutcome::kUnknown:
-      run->had_unanswered_start = true;
+      NoteUnansweredStart(*vm, key, *run, sent);
       if (run->phase == RunPhase::kStarting) run->phase = RunPhase::kInDoubt;
       return;
     case RunCommandOutcome::kSuperseded:
--- a/src/libs/jobs/scheduler_settings.h
+++ b/src/libs/jobs/scheduler_settings.h
@@ -28,6 +28,9 @@
   LeaseAuthoritySettings lease_authority;
   /// Interval at which an unanswered start command is resent.
   Millis start_retry_interval{400};
+  /// How long after it was sent a VM may carry out a start that it does not
+  /// answer.
+  Millis max_start_delay{12'500};
   /// Number of unanswered start commands after which the run is stopped.
   int max_start_attempts = 3;
   /// Upper bound of the time that a VM takes to stop a run.
--- a/src/libs/jobs/scheduler_stops.cc
+++ b/src/libs/jobs/scheduler_stops.cc
@@ -39,9 +39,9 @@
       IssueStop(ref, run, now, commands);
       return;
     }
-    if (starts_held_) return;
+    if (starts_held_ || run.late_start_batch > durable_batches_) return;
     ++run.starts_sent;
-    run.last_command_at = now;
+    run.last_command_at = run.start_sent_at = now;
     commands.push_back(MakeStart(job, ref, run));
     commands.back().checkpoint = task.checkpoint;
   });
--- a/src/libs/jobs/scheduler_workers.cc
+++ b/src/libs/jobs/scheduler_workers.cc
@@ -60,7 +60,7 @@
                    settings_.max_vm_lease, now);
   vm.worker_generation = ++worker_generations_;
   const std::string& id = vm.listing.id;
-  std::erase_if(held_ends_, [&](const HeldEnd& end) { return end.vm == id; });
+  held_ends_.erase(id);
   dirty_vms_[id] = 0;
   ExpectLongLease(vm, now);
 }
--- a/src/libs/jobs/task_copy.h
+++ b/src/libs/jobs/task_copy.h
@@ -57,16 +57,6 @@
   std::int64_t deferred = 0;
 };
 
-/// The done end of a run that must not be acknowledged yet, since a later run
-/// of the task may still start.
-struct HeldEnd {
-  std::string vm;
-  std::int64_t number = 0;
-  std::int64_t worker_start_ms = 0;
-  TaskRef task;
-  int run = 0;
-};
-
 }  // namespace basilspur::jobs
 
 #endif  // BASILSPUR_JOBS_TASK_COPY_H_
--- a/tests/auto/jobs/vm_crashes_test.cc
+++ b/tests/auto/jobs/vm_crashes_test.cc
@@ -232,6 +232,8 @@
   fixture.AddVm("vm0");
   fixture.Accept(kJob, fixture.MakeJob({fixture.MakeStep(1, 1'000)}));
   fixture.Answer(StartOf(fixture.Plan(), kJob), RunCommandOutcome::kUnknown);
+  // The start is sent again once the journal knows of the first one.
+  fixture.Flush();
   fixture.now = fixture.now + fixture.settings.start_retry_interval;
   fixture.Answer(StartOf(fixture.Plan(), kJob), RunCommandOutcome::kRestarted);
   CHECK(TakeSuspects(fixture).size() == 1);
--- a/tests/sim/link_faults.h
+++ b/tests/sim/link_faults.h
@@ -40,6 +40,8 @@
   Millis directory_delay;
   std::set<std::string> cut_vms;    ///< Ids of VMs without a path.
   std::set<std::string> lossy_vms;  ///< Ids of VMs whose answers may be lost.
+  /// Share of the starts that are not answered and carried out late.
+  double late_start_share = 0;
   /// When the last fault of the node will have been over for long enough.
   Millis in_touch_from;
   /// When the node will have read the store for long enough after a fault.
