--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -19,7 +19,7 @@
 #include "jobs/data_center_closures.h"
 #include "jobs/delegation.h"
 #include "jobs/delegation_policy.h"
-#include "jobs/held_end.h"
+#include "jobs/held_ends.h"
 #include "jobs/job.h"
 #include "jobs/job_tier_policy.h"
 #include "jobs/job_turn.h"
@@ -715,7 +715,7 @@
   /// Starts of earlier owners that may not have been carried out when this one
   /// took over. Their tasks need not wait, but their ends are held.
   LateStarts inherited_starts_;
-  std::map<std::string, std::vector<HeldEnd>> held_ends_;  ///< By VM.
+  HeldEnds held_ends_;
   Millis restored_at_;  ///< When the cell was taken over.
   bool all_vms_reconciled_ = true;
   bool journal_complete_ = false;
--- a/src/libs/jobs/scheduler_held_ends.cc
+++ b/src/libs/jobs/scheduler_held_ends.cc
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include "jobs/scheduler.h"
 
 namespace basilspur::jobs {
@@ -68,7 +66,7 @@
       CopyPolicy::IsEligible(job->record.spec.steps[row.task.step]) &&
       RunThatMayStartAfter(*task, row.run);
   if (!end.waits_for_later_run && !MayStartAfterEnd(row.task)) return;
-  held_ends_[vm.listing.id].push_back(end);
+  held_ends_.Add(vm.listing.id, end);
   NoteRun(RunEventKind::kEndHeld, vm, {row.task, row.run}, now, row.number);
 }
 
@@ -84,45 +82,37 @@
     const Vm* vm = FindVm(id);
     if (vm) dirty_vms_.try_emplace(id, vm->last_end);
   }
-  for (auto it = held_ends_.begin(); it != held_ends_.end();) {
-    const Vm* vm = FindVm(it->first);
-    const auto removed = std::erase_if(it->second, [&](const HeldEnd& end) {
-      const bool is_present = vm && vm->worker_start_ms == end.worker_start_ms;
-      return !is_present || !MustHold(end);
-    });
-    if (removed > 0 && vm) {
-      dirty_vms_[it->first] = vm->last_end;
-      urgent_changes_ = true;
-    }
-    it = it->second.empty() ? held_ends_.erase(it) : std::next(it);
+  const auto must_hold = [&](const std::string& id, const HeldEnd& end) {
+    const Vm* vm = FindVm(id);
+    return vm && vm->worker_start_ms == end.worker_start_ms && MustHold(end);
+  };
+  for (const std::string& id : held_ends_.Release(must_hold)) {
+    const Vm* vm = FindVm(id);
+    if (!vm) continue;
+    dirty_vms_[id] = vm->last_end;
+    urgent_changes_ = true;
   }
 }
 
 void Scheduler::ReleaseEndsOfFullList(const Vm& vm, Millis now) {
-  const auto found = held_ends_.find(vm.listing.id);
-  if (found == held_ends_.end()) return;
-  std::erase_if(found->second, [&](const HeldEnd& end) {
-    if (end.waits_for_later_run) return false;
+  const std::string& id = vm.listing.id;
+  const std::vector<HeldEnd> released = held_ends_.ReleaseThoseForCopies(id);
+  if (released.empty()) return;
+  for (const HeldEnd& end : released) {
     NoteRun(RunEventKind::kHoldGivenUp, vm, {end.task, end.run}, now,
             end.number);
-    return true;
-  });
-  if (found->second.empty()) held_ends_.erase(found);
-  dirty_vms_[vm.listing.id] = vm.last_end;
+  }
+  dirty_vms_[id] = vm.last_end;
   urgent_changes_ = true;
 }
 
 bool Scheduler::HasHeldEnds(const std::string& vm) const {
-  return held_ends_.contains(vm);
+  return held_ends_.Has(vm);
 }
 
 std::int64_t Scheduler::LastEndToRecord(const std::string& vm,
                                         std::int64_t end) const {
-  const auto found = held_ends_.find(vm);
-  if (found == held_ends_.end()) return end;
-  for (const HeldEnd& held : found->second)
-    end = std::min(end, held.number - 1);
-  return end;
+  return held_ends_.LastBefore(vm, end);
 }
 
 }  // namespace basilspur::jobs
--- a/src/libs/jobs/scheduler_workers.cc
+++ b/src/libs/jobs/scheduler_workers.cc
@@ -60,7 +60,7 @@
                    settings_.max_vm_lease, now);
   vm.worker_generation = ++worker_generations_;
   const std::string& id = vm.listing.id;
-  held_ends_.erase(id);
+  held_ends_.RemoveAllOf(id);
   dirty_vms_[id] = 0;
   ExpectLongLease(vm, now);
 }
