--- a/src/libs/jobs/vm.cc
+++ b/src/libs/jobs/vm.cc
@@ -1,7 +1,6 @@
 #include "jobs/vm.h"
 
 #include <algorithm>
-#include <string_view>
 
 namespace basilspur::jobs {
 
@@ -169,9 +168,8 @@
 }
 
 int Vm::CountRunsOfStep(const TaskRef& task) const {
-  const std::tuple<std::string_view, int, int> step(task.job, task.occurrence,
-                                                    task.step);
-  const auto found = runs_by_step_.find(step);
+  const auto found =
+      runs_by_step_.find(std::tie(task.job, task.occurrence, task.step));
   return found == runs_by_step_.end() ? 0 : found->second;
 }
 
