The promise checker asks for room for the step that has to run again

By the trace, job8.0.0.0 ends at 7.772 s on vm0, the only VM of its cell, 6 ms after the owner was killed; vm0 is gone at 10.606 s before the end is acknowledged, so that the task has to run again. At the end all tasks that the cell offers to the other one need 1,863 to 2,268 thousandths of a core, and the largest room there is 1,843. The checker took the step as done, and asked whether the next one, which is smaller, has room.

It asks for the first step without acknowledged ends now. The check is as strict: it looks for room for the task that waits.

--- a/tests/sim/promise_checker.cc
+++ b/tests/sim/promise_checker.cc
@@ -42,6 +42,20 @@
   return true;
 }
 
+bool PromiseChecker::AllDoneForGood(const std::string& job, int step) const {
+  const jobs::StepSpec& spec = specs_.at(job).steps[step];
+  for (int index = 0; index < spec.count; ++index) {
+    const auto found = tasks_.find({job, 0, step, index});
+    if (found == tasks_.end()) return false;
+    const std::vector<DoneEnd>& ends = found->second.done;
+    const bool counts = std::any_of(
+        ends.begin(), ends.end(),
+        [](const DoneEnd& end) { return end.acknowledged && !end.lapsed; });
+    if (!counts) return false;
+  }
+  return true;
+}
+
 void PromiseChecker::OnShown(const std::string& job, cell::ReplyKind state) {
   if (state == cell::ReplyKind::kNoSuchJob && accepted_.contains(job))
     Report("LOST: accepted job " + job + " is shown as unknown");
@@ -230,7 +244,7 @@
   if (RanLately(job)) return false;
   const jobs::JobSpec& spec = specs_.at(job);
   for (std::size_t step = 0; step < spec.steps.size(); ++step) {
-    if (AllDone(job, static_cast<int>(step))) continue;
+    if (AllDoneForGood(job, static_cast<int>(step))) continue;
     return has_room(spec.steps[step].need);
   }
   // All tasks have ended, and the job has not.
--- a/tests/sim/promise_checker.h
+++ b/tests/sim/promise_checker.h
@@ -133,6 +133,9 @@
       const std::string& job,
       const std::function<bool(const records::Resources&)>& has_room) const;
   bool AllDone(const std::string& job, int step) const;
+  /// The same, and each has an end that was acknowledged. One that was lost
+  /// with its VM makes the task run again.
+  bool AllDoneForGood(const std::string& job, int step) const;
   void CheckDependencies(const jobs::TaskRef& task);
 
   const Clock& clock_;
