--- a/src/libs/cell/turn_times.cc
+++ b/src/libs/cell/turn_times.cc
@@ -32,11 +32,10 @@
   for (int turn = 0; turn < kOwnerTurns; ++turn) {
     const Counts counts = std::exchange(counts_[turn], {});
     const std::string name = NameOf(static_cast<OwnerTurn>(turn));
-    fields += " " + name + "s=" + std::to_string(counts.all) + " " + name +
-              "s_over_10_ms=" + std::to_string(counts.over_10_ms) + " " + name +
-              "s_over_100_ms=" + std::to_string(counts.over_100_ms) +
-              " longest_" + name +
-              "_ms=" + std::to_string(counts.longest.count);
+    fields += " " + name + "_turns=" + std::to_string(counts.all) + " " + name +
+              "_over_10_ms=" + std::to_string(counts.over_10_ms) + " " + name +
+              "_over_100_ms=" + std::to_string(counts.over_100_ms) + " " +
+              name + "_longest_ms=" + std::to_string(counts.longest.count);
   }
   return fields;
 }
