--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -39,7 +39,7 @@
   /// share of the time that they may take. Answers and renewals come between
   /// them.
   Millis min_plan_interval{8};
-  int max_plan_time_percent = 20;
+  int max_plan_time_percent = 50;
   /// Number of commands that are sent before other work has its turn.
   std::size_t max_commands_per_turn = 100;
   /// An append that stays pending for longer makes the owner refuse new jobs.
