--- a/src/libs/cell/cell_owner.cc
+++ b/src/libs/cell/cell_owner.cc
@@ -274,9 +274,10 @@
   plan_scheduled_ = true;
   // A scheduling pass covers all waiting tasks, so events that arrive before it
   // share one pass.
+  const bool was_slow = last_plan_took_ >= TurnTimes::kSlow;
   const Millis interval =
-      std::max(settings_.min_plan_interval,
-               last_plan_took_ * 100 / settings_.max_plan_time_percent);
+      was_slow ? last_plan_took_ * 100 / settings_.max_plan_time_percent
+               : settings_.min_plan_interval;
   const Millis due = last_plan_ + interval - Now();
   plan_timer_.ExpireAfter(std::max(due, Millis(0)));
   plan_timer_.AsyncWait([self = shared_from_this()](const net::error_code&) {
--- a/src/libs/cell/cell_owner.h
+++ b/src/libs/cell/cell_owner.h
@@ -36,8 +36,8 @@
   /// The same while nobody waits for the changes to become durable.
   Millis lazy_flush_interval{60};
   /// Shortest time between the beginnings of two scheduling passes, and the
-  /// share of the time that they may take. Answers and renewals come between
-  /// them.
+  /// share of the time that slow ones may take. Answers and renewals come
+  /// between them.
   Millis min_plan_interval{8};
   int max_plan_time_percent = 50;
   /// Number of commands that are sent before other work has its turn.
