Late starts and held ends, read again as a newcomer

PlanBesideLateStart returned true in any case; the caller says so now. Names: late starts instead of copies where no copy of a task is meant, ends_released_by_full_list, the maximum of turns. No change of behaviour.

--- a/src/libs/cell/turn_times.cc
+++ b/src/libs/cell/turn_times.cc
@@ -35,7 +35,7 @@
     fields += " " + name + "_turns=" + std::to_string(counts.all) + " " + name +
               "_over_10_ms=" + std::to_string(counts.over_10_ms) + " " + name +
               "_over_100_ms=" + std::to_string(counts.over_100_ms) + " " +
-              name + "_longest_ms=" + std::to_string(counts.longest.count);
+              name + "_max_ms=" + std::to_string(counts.longest.count);
   }
   return fields;
 }
--- a/src/libs/cell/turn_times.h
+++ b/src/libs/cell/turn_times.h
@@ -33,7 +33,7 @@
   /// Precondition: `took` >= 0.
   void Add(OwnerTurn turn, Millis took);
   /// Returns the turns since the last call as log fields with leading spaces:
-  /// their number, those over 10 and over 100 ms, and the longest one in ms.
+  /// their number, those over 10 and over 100 ms, and the maximum in ms.
   std::string TakeFields();
 
  private:
--- a/src/libs/jobs/held_ends.cc
+++ b/src/libs/jobs/held_ends.cc
@@ -28,7 +28,7 @@
   return vms;
 }
 
-std::vector<HeldEnd> HeldEnds::ReleaseThoseForCopies(const std::string& vm) {
+std::vector<HeldEnd> HeldEnds::ReleaseHeldForLateStarts(const std::string& vm) {
   std::vector<HeldEnd> released;
   const auto found = ends_.find(vm);
   if (found == ends_.end()) return released;
--- a/src/libs/jobs/held_ends.h
+++ b/src/libs/jobs/held_ends.h
@@ -29,8 +29,8 @@
   std::vector<std::string> Release(
       const std::function<bool(const std::string& vm, const HeldEnd& end)>&
           must_hold);
-  /// Removes and returns the VM's ends that are held for late copies of starts.
-  std::vector<HeldEnd> ReleaseThoseForCopies(const std::string& vm);
+  /// Removes and returns the VM's ends that are held for late starts.
+  std::vector<HeldEnd> ReleaseHeldForLateStarts(const std::string& vm);
 
  private:
   std::map<std::string, std::vector<HeldEnd>> ends_;  ///< By VM; none is empty.
--- a/src/libs/jobs/late_starts.h
+++ b/src/libs/jobs/late_starts.h
@@ -14,10 +14,11 @@
 
 namespace basilspur::jobs {
 
-/// Copies of start commands that were not answered, and that VMs may still
-/// carry out. A VM's worker refuses a copy while it knows of the run's end; one
-/// that starts again under the same id does not, until it has received a higher
-/// fencing token. So nothing but the time shows that no copy comes any more.
+/// Start commands without an answer that VMs may still carry out, though they
+/// were sent again or their runs were given up. A VM's worker refuses a copy
+/// while it knows of the run's end; one that starts again under the same id
+/// does not, until it has received a higher fencing token. So nothing but the
+/// time shows that no copy comes any more.
 ///
 /// Thread safety: one thread at a time.
 class LateStarts {
--- a/src/libs/jobs/run_event.cc
+++ b/src/libs/jobs/run_event.cc
@@ -32,8 +32,8 @@
       return "runs_released_as_refused";
     case RunEventKind::kEndHeld:
       return "ends_held";
-    case RunEventKind::kHoldGivenUp:
-      return "ends_not_held_longer";
+    case RunEventKind::kReleasedByFullList:
+      return "ends_released_by_full_list";
   }
   return "";
 }
--- a/src/libs/jobs/run_event.h
+++ b/src/libs/jobs/run_event.h
@@ -31,10 +31,10 @@
   kReleasedAsRefused,  ///< Its only start was refused or not sent.
   // Its end is not acknowledged yet, since the task may be started after it:
   kEndHeld,
-  kHoldGivenUp,  ///< It is acknowledged all the same: the VM's list is full.
+  kReleasedByFullList,  ///< It was held, and the VM's list of ends is full.
 };
 inline constexpr int kRunEventKinds =
-    static_cast<int>(RunEventKind::kHoldGivenUp) + 1;
+    static_cast<int>(RunEventKind::kReleasedByFullList) + 1;
 
 /// Returns the event's name in the log.
 const char* NameOf(RunEventKind kind);
--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -506,16 +506,16 @@
                 std::vector<RunCommand>& commands);
   /// Starts a task that a late copy of a start may start, too: only on the VM
   /// that has received the copy, which executes one run of a task at a time.
-  /// Else the task waits. Returns true.
-  bool PlanBesideLateStart(Job& job, const TaskRef& ref, PlacementQueue* queue,
+  /// Else the task waits.
+  void PlanBesideLateStart(Job& job, const TaskRef& ref, PlacementQueue* queue,
                            Millis now, std::vector<RunCommand>& commands);
   /// No VM has room for the task, or the gang that it begins.
   void PlanLaterStart(const Job& job, const TaskRef& ref,
                       const std::vector<Vm*>& vms, Millis now);
   void PlanGang(Job& job, Occurrence& occurrence, int step, Millis now,
                 std::vector<RunCommand>& commands);
-  /// Whether a late copy of a start may start one of `count` tasks of a step.
-  bool MayStartLate(TaskRef first, int count) const;
+  /// Whether a late start may begin one of the first `count` tasks of a step.
+  bool HasLateStart(TaskRef first, int count) const;
   /// Whether the VMs have as many free places as the gang has tasks. They may
   /// still be too slow for best-effort tasks.
   bool HasPlacesForGang(const Job& job, const TaskRef& first,
@@ -604,11 +604,11 @@
   /// it. `job` and `task` are null if they are not known.
   void HoldEnd(const Vm& vm, const Job* job, const Task* task,
                const EndedRunReport& row, Millis now);
-  /// Whether a late copy may start the task after an end that is reported now.
+  /// Whether a late start may begin the task after an end that is reported now.
   bool MayStartAfterEnd(const TaskRef& task) const;
   bool MustHold(const HeldEnd& end);
   void ReleaseHeldEnds(Millis now);
-  /// The VM has more ends than it lists. Those that are held for late copies
+  /// The VM has more ends than it lists. Those that are held for late starts
   /// are acknowledged, since the owner can't learn of the others otherwise.
   void ReleaseEndsOfFullList(const Vm& vm, Millis now);
   /// Returns the newest end of the VM, up to `end`, that the journal may name.
--- a/src/libs/jobs/scheduler_gangs.cc
+++ b/src/libs/jobs/scheduler_gangs.cc
@@ -35,7 +35,7 @@
   for (const Task& task : tasks) {
     if (!NeedsRun(task, now)) return;
   }
-  if (MayStartLate(first, spec.count)) return;
+  if (HasLateStart(first, spec.count)) return;
   for (const std::vector<Vm*>& vms : GroupsForGang(spec, AllVms())) {
     if (!HasPlacesForGang(job, first, vms, now)) continue;
     if (PlaceGang(job, occurrence, step, vms, now, commands)) return;
@@ -122,14 +122,14 @@
       job.DependenciesDone(occurrence, step) &&
       std::all_of(tasks.begin(), tasks.end(),
                   [&](const Task& task) { return NeedsRun(task, now); });
-  if (!waits || MayStartLate({job.id, occurrence.number, step, 0}, spec.count))
+  if (!waits || HasLateStart({job.id, occurrence.number, step, 0}, spec.count))
     return false;
   Millis& since = tasks.front().waiting_since;
   if (since == Millis(0)) since = now;
   return now - since >= settings_.delegation_delay;
 }
 
-bool Scheduler::MayStartLate(TaskRef first, int count) const {
+bool Scheduler::HasLateStart(TaskRef first, int count) const {
   if (late_starts_.Count() == 0) return false;
   for (; first.index < count; ++first.index) {
     if (late_starts_.MayStart(first)) return true;
--- a/src/libs/jobs/scheduler_held_ends.cc
+++ b/src/libs/jobs/scheduler_held_ends.cc
@@ -6,8 +6,8 @@
   const Job* job = FindJob(key.first.job);
   if (!job) return;
   const StepSpec& spec = job->record.spec.steps[key.first.step];
-  // The former have no end that a copy could follow; of the latter several runs
-  // are allowed.
+  // Long-running tasks have no end that a late start could follow, and several
+  // runs of a speculative step's task may compete.
   if (spec.long_running || spec.speculative) return;
   // A VM that does not name its worker's start gets another id with each start,
   // and its next worker rejects the copy.
@@ -96,10 +96,10 @@
 
 void Scheduler::ReleaseEndsOfFullList(const Vm& vm, Millis now) {
   const std::string& id = vm.listing.id;
-  const std::vector<HeldEnd> released = held_ends_.ReleaseThoseForCopies(id);
+  const std::vector<HeldEnd> released = held_ends_.ReleaseHeldForLateStarts(id);
   if (released.empty()) return;
   for (const HeldEnd& end : released) {
-    NoteRun(RunEventKind::kHoldGivenUp, vm, {end.task, end.run}, now,
+    NoteRun(RunEventKind::kReleasedByFullList, vm, {end.task, end.run}, now,
             end.number);
   }
   dirty_vms_[id] = vm.last_end;
--- a/src/libs/jobs/scheduler_plan.cc
+++ b/src/libs/jobs/scheduler_plan.cc
@@ -209,8 +209,10 @@
   }
   const Task& task = job.At(ref);
   if (task.IsSuspect() && !MayIsolateVm(now)) return true;
-  if (late_starts_.MayStart(ref))
-    return PlanBesideLateStart(job, ref, queue, now, commands);
+  if (late_starts_.MayStart(ref)) {
+    PlanBesideLateStart(job, ref, queue, now, commands);
+    return true;  // Other tasks of the step may have places.
+  }
   const Placement place =
       queue ? queue->Select(ref, task)
             : placer_.SelectPlacement(vms, spec, service, ref, task, now);
@@ -227,7 +229,7 @@
   return true;
 }
 
-bool Scheduler::PlanBesideLateStart(Job& job, const TaskRef& ref,
+void Scheduler::PlanBesideLateStart(Job& job, const TaskRef& ref,
                                     PlacementQueue* queue, Millis now,
                                     std::vector<RunCommand>& commands) {
   const std::string* only = late_starts_.OnlyVmOf(ref);
@@ -237,16 +239,14 @@
     return std::find(task.failed_on.begin(), task.failed_on.end(), *only) !=
            task.failed_on.end();
   };
-  // The task waits. Others like it may have places. A VM that goes down and up
-  // would seem to be crashed by the task.
-  if (!vm || task.IsSuspect() || has_failed_there()) return true;
+  // A VM that goes down and up again would seem to be crashed by the task.
+  if (!vm || task.IsSuspect() || has_failed_there()) return;
   const Placement place =
       placer_.SelectPlacement({vm}, job.record.spec.steps[ref.step],
                               job.record.service, ref, task, now);
-  if (!place.vm) return true;
+  if (!place.vm) return;
   StartTask(job, ref, place, NextRunNumber(job, task), now, commands);
   if (queue) queue->Update(*place.vm);
-  return true;
 }
 
 RunCommand Scheduler::MakeStart(const Job& job, const TaskRef& ref,
--- a/src/tools/basilspur_bench/main.cc
+++ b/src/tools/basilspur_bench/main.cc
@@ -91,8 +91,8 @@
 };
 
 static constexpr ClusterSize kClusterSizes[] = {
-    {"Klarhet", 50, {16'000, 60'000, 0}, {6'000, 20'000, 0}, 120},
-    {"Kanevedenn", 70, {32'000, 125'000, 0}, {12'000, 40'000, 0}, 360},
+    {"50 VMs", 50, {16'000, 60'000, 0}, {6'000, 20'000, 0}, 120},
+    {"70 VMs", 70, {32'000, 125'000, 0}, {12'000, 40'000, 0}, 360},
 };
 
 static void RunBatchBenchmarks(std::uint64_t seed,
--- a/tests/sim/late_starts_test.cc
+++ b/tests/sim/late_starts_test.cc
@@ -98,7 +98,8 @@
   CheckSeeds(/*kills_owners=*/false);
 }
 
-// TWICE: the same, when the owner that knew of the copies is gone.
+// TWICE: a successor acknowledged ends, or started tasks elsewhere, while late
+// copies of its predecessor's starts could still come.
 TEST_CASE("late copies of starts of earlier owners do not run tasks again") {
   CheckSeeds(/*kills_owners=*/true);
 }
