Tests of late starts for gangs and hosts, and of large jobs on related paths

Late starts: a gang and a host wait for a member's, speculative steps don't, and ends behind a held one count. A host compared each delegated task with all runs that belong to no task; it looks them up now.

--- a/src/libs/jobs/scheduler.h
+++ b/src/libs/jobs/scheduler.h
@@ -477,7 +477,9 @@
                    Millis now);
   /// Returns whether this recalls the task.
   bool ApplyDelegation(Job& job, Task& task, const DelegatedTask& wanted);
+  /// `orphaned`: the tasks of `orphaned_runs_`.
   void ReportHosting(const Job& job, const TaskRef& ref, const Task& task,
+                     const std::set<TaskRef>& orphaned,
                      DelegatedTaskReport& row) const;
 
   void AddDueOccurrences(Job& job, std::int64_t wall_ms);
--- a/src/libs/jobs/scheduler_delegations.cc
+++ b/src/libs/jobs/scheduler_delegations.cc
@@ -229,6 +229,9 @@
                   [](const DelegatedTask& task) { return !task.settled; });
   if (!job && wants_runs) job = &AddGuestJob(delegation, wall_ms, now);
   if (job) RetireOccurrencesOfGuest(*job, delegation.retired);
+  std::set<TaskRef> orphaned;
+  for (const auto& [run, last_stop] : orphaned_runs_)
+    orphaned.insert(run.second.first);
   for (const DelegatedTask& wanted : delegation.tasks) {
     const TaskRef ref = wanted.RefIn(delegation.job);
     DelegatedTaskReport& row = report.tasks.emplace_back();
@@ -244,7 +247,7 @@
     Task* task = job->FindOrAdd(ref);
     if (!task) continue;
     if (ApplyDelegation(*job, *task, wanted)) ++report.recalls;
-    ReportHosting(*job, ref, *task, row);
+    ReportHosting(*job, ref, *task, orphaned, row);
   }
   if (!job) return report;
   UpdateGuestActivity(*job);
@@ -296,6 +299,7 @@
 
 void Scheduler::ReportHosting(const Job& job, const TaskRef& ref,
                               const Task& task,
+                              const std::set<TaskRef>& orphaned,
                               DelegatedTaskReport& row) const {
   row.number = task.delegation;
   row.crashes = task.crashes;
@@ -306,10 +310,7 @@
   if (task.hosting == HostingState::kSettled)
     row.state = DelegationState::kSettled;
   if (task.hosting != HostingState::kReturned) return;
-  const bool has_orphan = std::any_of(
-      orphaned_runs_.begin(), orphaned_runs_.end(),
-      [&](const auto& item) { return item.first.second.first == ref; });
-  const bool returned = task.runs.empty() && !has_orphan &&
+  const bool returned = task.runs.empty() && !orphaned.contains(ref) &&
                         task.placement_batch <= durable_batches_ &&
                         HasCompleteRunState() &&
                         (task.done || !late_starts_.MayStart(ref));
--- a/tests/auto/jobs/large_steps_test.cc
+++ b/tests/auto/jobs/large_steps_test.cc
@@ -165,3 +165,112 @@
   fixture.Report("vm", running);
   CHECK(CpuMs() - before < LeaseBudgetMs());
 }
+
+/// Makes the runs of a large job, all confirmed, and returns them.
+static std::vector<RunCommand> StartAll(SchedulerFixture& fixture,
+                                        std::int64_t cpu_millis) {
+  fixture.Accept(kLarge, fixture.MakeJob({MakeLargeStep(cpu_millis)}));
+  std::vector<RunCommand> starts;
+  do {
+    const std::vector<RunCommand> planned = fixture.PlanAndConfirm();
+    starts.insert(starts.end(), planned.begin(), planned.end());
+  } while (fixture.scheduler.HasMoreToPlan());
+  fixture.Flush();
+  return starts;
+}
+
+// LOST: a successor took longer to restore a large job than leases last.
+TEST_CASE("a cell with a large job is restored in a short time") {
+  SchedulerFixture fixture;
+  AddVms(fixture);
+  REQUIRE(StartAll(fixture, 100).size() == kTasks);
+  const double before = CpuMs();
+  const auto successor = fixture.TakeOver(10'001);
+  CHECK(CpuMs() - before < LeaseBudgetMs());
+  CHECK(successor->Summary(fixture.now).runs == kTasks);
+}
+
+// LOST: what had run on a worker that started again was compared run by run.
+TEST_CASE("a worker with many runs that starts again is replaced in time") {
+  SchedulerFixture fixture;
+  fixture.AddVm("vm");
+  StepSpec step = SchedulerFixture::MakeStep(kTasks, 1);
+  step.need.memory_mib = 0;
+  fixture.Accept(kLarge, fixture.MakeJob({step}));
+  do {
+    fixture.PlanAndConfirm();
+  } while (fixture.scheduler.HasMoreToPlan());
+  fixture.Flush();
+  fixture.now = fixture.now + Millis(1'000);
+  fixture.RestartWorker("vm");
+  const double before = CpuMs();
+  fixture.Report("vm", {});
+  CHECK(CpuMs() - before < LeaseBudgetMs());
+  CHECK(fixture.scheduler.Summary(fixture.now).runs == 0);
+}
+
+// LOST: the same for tasks that may preempt, or that are planned for later.
+TEST_CASE("plans that preempt and plan ahead for a large job are short") {
+  SchedulerFixture fixture;
+  fixture.settings.preempt = true;
+  fixture.settings.max_planned_starts = 4;
+  fixture.settings.complete_late_jobs = true;
+  AddVms(fixture);
+  StepSpec step = MakeLargeStep(9'000);
+  step.gang = GENERATE(false, true);
+  fixture.Accept(kLarge, fixture.MakeJob({step}));
+  for (int small = 0; small < 50; ++small) {
+    fixture.Accept(kSmall + std::to_string(small),
+                   fixture.MakeJob({fixture.MakeStep(20, 9'000)}));
+  }
+  const auto owner = fixture.TakeOver(10'001);
+  for (int vm = 0; vm < kVms; ++vm) {
+    VmReport report;
+    report.clock_ms = fixture.now.count;
+    report.worker_start_ms = 1'600'000'000'000;
+    owner->OnReport("vm" + std::to_string(vm), report, fixture.now,
+                    fixture.now);
+  }
+  owner->OnDurable(owner->TakeBatch(fixture.wall_ms));
+  std::size_t starts = 0;
+  for (int plan = 0; plan < 20; ++plan) {
+    const double before = CpuMs();
+    starts += owner->Plan(fixture.wall_ms, fixture.now).size();
+    CHECK(CpuMs() - before < LeaseBudgetMs());
+    fixture.now = fixture.now + Millis(100);
+  }
+  CHECK(starts >= kVms);
+}
+
+// LOST: a host compared each delegated task with all orphaned runs.
+TEST_CASE("a delegation of many tasks is served in a short time") {
+  SchedulerFixture home;
+  home.Accept(kLarge, home.MakeJob({MakeLargeStep(100)}));
+  home.Plan();
+  home.scheduler.ShortTasksToDelegate(home.now);
+  home.now = home.now + Millis(500);
+  home.Plan();
+  for (const TaskRef& task : home.scheduler.ShortTasksToDelegate(home.now))
+    home.scheduler.Delegate(task, 2);
+  home.Flush();
+  const auto sent = home.scheduler.DelegationsToSend(home.now);
+  REQUIRE(sent.size() == 1);
+  Delegation recall = sent[0].second;
+  REQUIRE(recall.tasks.size() == kTasks);
+  recall.record.home_cell = 1;
+  for (DelegatedTask& task : recall.tasks) task.recalled = true;
+  SchedulerFixture host;
+  host.AddVm("vm");
+  std::vector<RunningRunReport> unknown(2'000);
+  for (std::size_t index = 0; index < unknown.size(); ++index) {
+    unknown[index].task = {kSmall, 0, 0, static_cast<int>(index)};
+    unknown[index].run = 1;
+  }
+  host.Report("vm", unknown);
+  host.scheduler.Host(recall, host.wall_ms, host.now);
+  host.Flush();
+  const double before = CpuMs();
+  const auto report = host.scheduler.Host(recall, host.wall_ms, host.now);
+  CHECK(CpuMs() - before < LeaseBudgetMs());
+  CHECK(report.tasks.size() == kTasks);
+}
--- a/tests/auto/jobs/late_starts_test.cc
+++ b/tests/auto/jobs/late_starts_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "auto/jobs/scheduler_fixture.h"
 
@@ -205,6 +206,126 @@
   CHECK(cell.scheduler.EndToAcknowledge("vm") == 1);
 }
 
+/// Lets both members of a gang start, the first one without an answer, and the
+/// gang break off.
+static void BreakGang(SchedulerFixture& cell) {
+  cell.AddVm("vm");
+  cell.AddVm("other");
+  StepSpec gang = cell.MakeStep(2, 16'000);
+  gang.gang = true;
+  cell.Accept(kJob, cell.MakeJob({gang}));
+  const std::vector<RunCommand> starts = cell.Plan();
+  REQUIRE(starts.size() == 2);
+  cell.Answer(starts[0], RunCommandOutcome::kUnknown);
+  cell.Answer(starts[1], RunCommandOutcome::kDone);
+  cell.Flush();
+  cell.now = cell.now + kRetry;
+  for (const RunCommand& again : cell.Plan())
+    cell.Answer(again, RunCommandOutcome::kDone);
+  for (const RunCommand& start : starts) {
+    cell.Report(start.vm, {},
+                {cell.MakeEnd(1, start.task, start.run, RunEnd::kBroken)});
+  }
+  cell.Flush();
+}
+
+// TWICE: a gang started again beside a late copy of a member's first start.
+TEST_CASE("a gang does not start while a late start of a member may come") {
+  SchedulerFixture cell;
+  BreakGang(cell);
+  cell.now = cell.now + kLatestCopy - kStopTime;
+  CHECK(cell.Plan().empty());
+  cell.now = cell.now + kAfterCopies;
+  CHECK(cell.Plan().size() == 2);
+}
+
+/// Returns the delegation of a job's only task by a cell without VMs.
+static Delegation DelegateTask(SchedulerFixture& home) {
+  constexpr int kHost = 2;
+  home.Accept(kJob, home.MakeJob({home.MakeStep(1, 1'000)}));
+  home.Plan();
+  home.scheduler.ShortTasksToDelegate(home.now);
+  home.now = home.now + kRetry;
+  home.Plan();
+  for (const TaskRef& task : home.scheduler.ShortTasksToDelegate(home.now))
+    home.scheduler.Delegate(task, kHost);
+  home.Flush();
+  const auto sent = home.scheduler.DelegationsToSend(home.now);
+  REQUIRE(sent.size() == 1);
+  Delegation delegation = sent[0].second;
+  delegation.record.home_cell = 1;
+  return delegation;
+}
+
+// TWICE: the home cell ran a returned task beside a late start at its host.
+TEST_CASE("a host returns a task when no late start of it may come") {
+  SchedulerFixture home;
+  Delegation wanted = DelegateTask(home);
+  SchedulerFixture host;
+  host.AddVm("vm");
+  const auto state = [&] {
+    const auto report = host.scheduler.Host(wanted, host.wall_ms, host.now);
+    host.Flush();
+    REQUIRE(report.tasks.size() == 1);
+    return report.tasks[0].state;
+  };
+  state();
+  const std::vector<RunCommand> starts = host.Plan();
+  REQUIRE(starts.size() == 1);
+  host.Answer(starts[0], RunCommandOutcome::kUnknown);
+  host.Flush();
+  wanted.tasks[0].recalled = true;
+  state();
+  host.now = host.now + kRetry;
+  for (const RunCommand& stop : host.Plan()) {
+    REQUIRE(stop.kind == RunCommandKind::kStop);
+    host.Answer(stop, RunCommandOutcome::kDone);
+  }
+  host.now = host.now + kStopTime;
+  host.Report("vm", {});
+  host.Flush();
+  CHECK(state() == DelegationState::kReturning);
+  host.now = host.now + kAfterCopies;
+  host.Plan();
+  host.Flush();
+  CHECK(state() == DelegationState::kReturned);
+}
+
+TEST_CASE("an end of a speculative step does not wait for late starts") {
+  SchedulerFixture cell;
+  cell.AddVm("vm");
+  StepSpec step = cell.MakeStep(1, 1'000);
+  step.speculative = true;
+  cell.Accept(kJob, cell.MakeJob({step}));
+  const std::vector<RunCommand> starts = cell.Plan();
+  REQUIRE(starts.size() == 1);
+  cell.Answer(starts[0], RunCommandOutcome::kUnknown);
+  cell.Flush();
+  cell.now = cell.now + kRetry;
+  for (const RunCommand& again : cell.Plan())
+    cell.Answer(again, RunCommandOutcome::kDone);
+  cell.Report("vm", {}, {cell.MakeEnd(1, kTask, 1, RunEnd::kDone)});
+  cell.Flush();
+  CHECK(cell.scheduler.EndToAcknowledge("vm") == 1);
+}
+
+// LOST: ends that are held hide nothing of the others of their VM.
+TEST_CASE("ends behind a held one count, and their jobs are shown as done") {
+  UnansweredStart cell;
+  cell.RepeatAndEnd(RunEnd::kDone);
+  const std::string later(16, 'b');
+  cell.Accept(later, cell.MakeJob({cell.MakeStep(1, 1'000)}));
+  REQUIRE(cell.PlanAndConfirm().size() == 1);
+  cell.Report("vm", {},
+              {cell.MakeEnd(1, kTask, 1, RunEnd::kDone),
+               cell.MakeEnd(2, {later, 0, 0, 0}, 1, RunEnd::kDone)});
+  cell.Flush();
+  CHECK(cell.scheduler.VisibleStateOf(later) == VisibleJobState::kDone);
+  CHECK(cell.scheduler.EndToAcknowledge("vm") == 0);
+  cell.PassCopies();
+  CHECK(cell.scheduler.EndToAcknowledge("vm") == 2);
+}
+
 TEST_CASE("late starts are counted by run, and expire with their time") {
   LateStarts starts;
   CHECK(starts.Add("vm", {kTask, 1}, Millis(10)));
