--- a/tests/auto/jobs/large_steps_test.cc
+++ b/tests/auto/jobs/large_steps_test.cc
@@ -144,7 +144,7 @@
   CHECK(runs == kTasks - 1);
 }
 
-// LOST: a report was compared with all runs of its VM, run by run.
+// Guards against comparing a report with all runs of its VM, run by run.
 TEST_CASE("reports of VMs with many runs are processed in a short time") {
   SchedulerFixture fixture;
   fixture.AddVm("vm");
@@ -179,7 +179,8 @@
   return starts;
 }
 
-// LOST: a successor took longer to restore a large job than leases last.
+// Guards against a successor that restores a large job for longer than leases
+// last.
 TEST_CASE("a cell with a large job is restored in a short time") {
   SchedulerFixture fixture;
   AddVms(fixture);
@@ -190,7 +191,8 @@
   CHECK(successor->Summary(fixture.now).runs == kTasks);
 }
 
-// LOST: what had run on a worker that started again was compared run by run.
+// Guards against comparing what has run on a worker that starts again run by
+// run.
 TEST_CASE("a worker with many runs that starts again is replaced in time") {
   SchedulerFixture fixture;
   fixture.AddVm("vm");
@@ -209,7 +211,7 @@
   CHECK(fixture.scheduler.Summary(fixture.now).runs == 0);
 }
 
-// LOST: the same for tasks that may preempt, or that are planned for later.
+// Guards against long plans with tasks that may preempt, or are planned ahead.
 TEST_CASE("plans that preempt and plan ahead for a large job are short") {
   SchedulerFixture fixture;
   fixture.settings.preempt = true;
@@ -242,7 +244,7 @@
   CHECK(starts >= kVms);
 }
 
-// LOST: a host compared each delegated task with all orphaned runs.
+// Guards against comparing each delegated task with all orphaned runs.
 TEST_CASE("a delegation of many tasks is served in a short time") {
   SchedulerFixture home;
   home.Accept(kLarge, home.MakeJob({MakeLargeStep(100)}));
